Core: Set down the folders, the core types and the blackboard

Cause: the repository was empty; every part needs the same value types, messages and shape. Conclusion: the libraries can now be built in parallel on these types.

--- /dev/null
+++ b/Libraries/LibBlackboard/ShardedTable.h
@@ -0,0 +1,152 @@
+// A table on the blackboard: versioned immutable values in shards, each under its own lock.
+//
+// Controllers read a value, decide without holding a lock, and write the new value with a compare on its
+// version. A write that lost a race is reported, and the controller decides again from the newer value.
+
+#pragma once
+
+#include <LibCore/Hash.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace almondwing {
+
+// Counts the writes to one key. Version 0 means that the key is absent.
+using Version = std::uint64_t;
+
+enum class WriteOutcome { Written, Conflict };
+
+template<typename Value>
+struct Versioned
+{
+    Value value;
+    Version version = 0;
+
+    friend bool operator==(Versioned const &, Versioned const &) = default;
+};
+
+template<typename Key, typename Value, std::size_t ShardCount = 64>
+class ShardedTable
+{
+public:
+    std::optional<Versioned<Value>> read(Key const &key) const
+    {
+        Shard const &shard = this->shardOf(key);
+        std::scoped_lock const lock(shard.mutex);
+        auto const entry = shard.entries.find(key);
+        if (entry == shard.entries.end())
+            return std::nullopt;
+        return entry->second;
+    }
+
+    bool contains(Key const &key) const { return this->read(key).has_value(); }
+
+    // Writes only if the key still has the expected version; 0 expects an absent key.
+    WriteOutcome write(Key const &key, Value value, Version expected)
+    {
+        Shard &shard = this->shardOf(key);
+        std::scoped_lock const lock(shard.mutex);
+        auto const entry = shard.entries.find(key);
+        bool const isPresent = entry != shard.entries.end();
+        if ((isPresent ? entry->second.version : 0) != expected)
+            return WriteOutcome::Conflict;
+        // Versions grow over the whole shard, so that a key that was erased and written again gets a new
+        // version.
+        Version const version = ++shard.lastVersion;
+        if (isPresent)
+            entry->second = Versioned<Value>{std::move(value), version};
+        else
+            shard.entries.emplace(key, Versioned<Value>{std::move(value), version});
+        return WriteOutcome::Written;
+    }
+
+    WriteOutcome erase(Key const &key, Version expected)
+    {
+        Shard &shard = this->shardOf(key);
+        std::scoped_lock const lock(shard.mutex);
+        auto const entry = shard.entries.find(key);
+        if (entry == shard.entries.end() || entry->second.version != expected)
+            return WriteOutcome::Conflict;
+        shard.entries.erase(entry);
+        return WriteOutcome::Written;
+    }
+
+    // Reads, decides and writes until no other controller interferes. `decide` is a pure function from the
+    // current value (or nullopt) to the new value (or nullopt, which leaves the table as it is). It runs
+    // without a lock and may run more than once. Returns the value that stands afterwards.
+    template<typename Decide>
+    std::optional<Value> update(Key const &key, Decide const &decide)
+    {
+        for (;;) {
+            std::optional<Versioned<Value>> const current = this->read(key);
+            std::optional<Value> const currentValue =
+                current ? std::optional<Value>(current->value) : std::nullopt;
+            std::optional<Value> next = decide(currentValue);
+            if (!next)
+                return currentValue;
+            if (this->write(key, *next, current ? current->version : 0) == WriteOutcome::Written)
+                return next;
+        }
+    }
+
+    void remove(Key const &key)
+    {
+        Shard &shard = this->shardOf(key);
+        std::scoped_lock const lock(shard.mutex);
+        shard.entries.erase(key);
+    }
+
+    // Copies the entries shard by shard; entries of different shards may be from slightly different moments.
+    std::vector<std::pair<Key, Value>> entries() const
+    {
+        std::vector<std::pair<Key, Value>> result;
+        for (Shard const &shard : this->shards) {
+            std::scoped_lock const lock(shard.mutex);
+            result.reserve(result.size() + shard.entries.size());
+            for (auto const &[key, versioned] : shard.entries)
+                result.emplace_back(key, versioned.value);
+        }
+        return result;
+    }
+
+    std::size_t size() const
+    {
+        std::size_t total = 0;
+        for (Shard const &shard : this->shards) {
+            std::scoped_lock const lock(shard.mutex);
+            total += shard.entries.size();
+        }
+        return total;
+    }
+
+private:
+    static_assert((ShardCount & (ShardCount - 1)) == 0, "the shard index is a bit mask");
+
+    struct alignas(64) Shard
+    {
+        mutable std::mutex mutex;
+        std::unordered_map<Key, Versioned<Value>> entries;
+        Version lastVersion = 0;
+    };
+
+    Shard &shardOf(Key const &key) { return this->shards[shardIndex(key)]; }
+    Shard const &shardOf(Key const &key) const { return this->shards[shardIndex(key)]; }
+
+    static std::size_t shardIndex(Key const &key)
+    {
+        // The bits are mixed again because the map inside the shard uses the same hash.
+        return mixBits(std::hash<Key>{}(key)) & (ShardCount - 1);
+    }
+
+    std::array<Shard, ShardCount> shards;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibCore/Time.h
@@ -0,0 +1,16 @@
+// Time as decision code sees it. Only the front end reads a clock; decisions get the time as an argument.
+
+#pragma once
+
+#include <chrono>
+
+namespace almondwing {
+
+using Duration = std::chrono::microseconds;
+
+// Monotonic time of one process. Never sent to another process; messages carry durations.
+using Timestamp = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using namespace std::chrono_literals;
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibMessages/Outbox.h
@@ -0,0 +1,27 @@
+// The hooks through which decision code sends messages and reports events. The daemon binds them to sockets,
+// tests to a fake link. A hook never calls back into the controller that used it.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/EventCatalogue.h>
+#include <LibCore/Identifier.h>
+#include <LibMessages/PeerMessages.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace almondwing {
+
+struct Outbox
+{
+    std::function<void(Endpoint caller, CallerReply const &)> sendToCaller;
+    std::function<void(Endpoint target, TargetCommand const &)> sendToTarget;
+    std::function<void(InstanceId, PeerMessage const &)> sendToInstance;
+    EventReporter report;
+};
+
+// Returns uniformly distributed random numbers; seeded in tests.
+using RandomSource = std::function<std::uint64_t()>;
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -0,0 +1,221 @@
+// Messages between instances, and the records that they carry.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+#include <LibMessages/FlowMessages.h>
+#include <LibMessages/RequestMessages.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace almondwing {
+
+enum class MemberState : std::uint8_t { Alive = 0, Suspect = 1, Leaving = 2, Dead = 3 };
+
+// What the cluster knows of one instance.
+// Order of two records of one instance: the higher incarnation wins, then the later state in the enum.
+struct MemberRecord
+{
+    InstanceId id;
+    std::string name;
+    std::string failureDomain;
+    Endpoint peerEndpoint;
+    Endpoint httpEndpoint;
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Alive;
+
+    friend bool operator==(MemberRecord const &, MemberRecord const &) = default;
+};
+
+enum class TargetState : std::uint8_t { Starting = 0, Warm = 1, Draining = 2, Unhealthy = 3, Gone = 4 };
+
+// Orders the versions of one target record. A new owner uses an epoch one above the highest it has seen, so
+// that its records win over late records of its predecessor; the owner id breaks a tie between two such
+// owners.
+struct TargetSequence
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t counter = 0;
+    InstanceId owner;
+
+    friend constexpr auto operator<=>(TargetSequence const &, TargetSequence const &) = default;
+};
+
+// What the cluster knows of one target. Written only by the dispatcher of the target.
+struct TargetRecord
+{
+    TargetId id;
+    std::string name;
+    ServiceId service;
+    std::string failureDomain;
+    Endpoint packetEndpoint; // UDP, flows and requests.
+    Endpoint httpEndpoint; // TCP, health and load.
+    std::uint64_t startMark = 0; // Chosen by the target at each start of its process.
+    TargetState state = TargetState::Starting;
+    std::uint8_t rampLevel = 0; // Index of the share of its limits that the target may use now.
+    std::uint32_t connections = 0; // Coarse count, so that a successor knows about how many flows to expect.
+    TargetSequence sequence;
+
+    friend bool operator==(TargetRecord const &, TargetRecord const &) = default;
+};
+
+using CallerMessage = std::variant<OpenFlow, FlowData, CloseFlow, Request, CancelRequest, ResendParts>;
+using CallerReply =
+    std::variant<FlowAccepted, FlowRefused, FlowData, FlowBroken, AnswerPart, NotRun, OutcomeUnknown>;
+using TargetCommand = std::variant<OpenFlow, FlowData, CloseFlow, RunRequest, CancelRequest, ResendParts>;
+using TargetMessage =
+    std::variant<FlowAccepted, FlowRefused, FlowData, FlowBroken, RequestStarted, Shed, AnswerPart>;
+
+enum class ForwardPurpose : std::uint8_t {
+    Deliver = 0, // The receiver is the dispatcher of the target that the sender's bucket table names.
+    Search = 1, // Serve the message if its flow or request is known here, else pass it to the next candidate.
+    SearchEnded = 2, // No candidate knows it; the dispatcher of the table's target decides.
+    Spill = 3, // The target before it is full; open or run it at the candidate named first.
+};
+
+// A message of a caller on its way between instances.
+struct Forwarded
+{
+    Endpoint caller;
+    ForwardPurpose purpose = ForwardPurpose::Deliver;
+    std::uint8_t hops = 0; // Bounds loops while views differ.
+    InstanceId origin; // For a search: the dispatcher that gets the message back at its end.
+    std::vector<TargetId> candidates; // Targets still to visit, the next one first.
+    CallerMessage message;
+
+    friend bool operator==(Forwarded const &, Forwarded const &) = default;
+};
+
+// Asks a member of a replica group to keep the record of a request before a target sees it.
+struct RecordRequest
+{
+    RequestKey key;
+    TargetId target;
+    InstanceId dispatcher;
+    std::uint64_t tryId = 0;
+    Duration keepFor{};
+
+    friend bool operator==(RecordRequest const &, RecordRequest const &) = default;
+};
+
+enum class RecordVerdict : std::uint8_t {
+    Stored = 0, // Also the answer to a repeat by the same dispatcher with the same try.
+    AlreadyRecorded = 1, // Another dispatcher or try has recorded this request.
+    Refused = 2, // This instance can't keep it.
+};
+
+struct RecordReply
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+    RecordVerdict verdict = RecordVerdict::Refused;
+
+    friend bool operator==(RecordReply const &, RecordReply const &) = default;
+};
+
+// The dispatcher knows for certain that the try did not run, so the record may be dropped.
+struct RecordRelease
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+
+    friend bool operator==(RecordRelease const &, RecordRelease const &) = default;
+};
+
+// Asks whether an instance knows a request, before it is run for the first time elsewhere.
+struct Locate
+{
+    RequestKey key;
+
+    friend bool operator==(Locate const &, Locate const &) = default;
+};
+
+enum class LocateVerdict : std::uint8_t { NotKnown = 0, Known = 1 };
+
+struct LocateReply
+{
+    RequestKey key;
+    LocateVerdict verdict = LocateVerdict::NotKnown;
+
+    friend bool operator==(LocateReply const &, LocateReply const &) = default;
+};
+
+// The buckets in which a target has flows or request records although the table names another target.
+// Replaces the earlier claim of the target; no buckets withdraw it.
+struct ClaimUpdate
+{
+    TargetId target;
+    ServiceId service;
+    TargetSequence sequence;
+    std::vector<std::uint16_t> buckets;
+
+    friend bool operator==(ClaimUpdate const &, ClaimUpdate const &) = default;
+};
+
+struct FlowException
+{
+    FlowKey key;
+    Endpoint caller;
+
+    friend bool operator==(FlowException const &, FlowException const &) = default;
+};
+
+// Flows of claimed buckets, for the replica group of the target or for its next dispatcher.
+struct ExceptionUpdate
+{
+    TargetId target;
+    std::vector<FlowException> added;
+    std::vector<FlowKey> removed;
+
+    friend bool operator==(ExceptionUpdate const &, ExceptionUpdate const &) = default;
+};
+
+// The part that all membership messages share.
+struct Gossip
+{
+    InstanceId from;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t recordsDigest = 0; // Over all member and target records that the sender knows.
+    std::vector<MemberRecord> members;
+    std::vector<TargetRecord> targets;
+
+    friend bool operator==(Gossip const &, Gossip const &) = default;
+};
+
+struct Ping
+{
+    std::uint64_t nonce = 0;
+    Gossip gossip;
+
+    friend bool operator==(Ping const &, Ping const &) = default;
+};
+
+struct Ack
+{
+    std::uint64_t nonce = 0;
+    InstanceId subject; // The instance that is alive; differs from the sender after an indirect ping.
+    Gossip gossip;
+
+    friend bool operator==(Ack const &, Ack const &) = default;
+};
+
+struct IndirectPing
+{
+    std::uint64_t nonce = 0;
+    InstanceId subject;
+    Gossip gossip;
+
+    friend bool operator==(IndirectPing const &, IndirectPing const &) = default;
+};
+
+using PeerMessage = std::variant<Forwarded, RecordRequest, RecordReply, RecordRelease, Locate, LocateReply,
+                                 ClaimUpdate, ExceptionUpdate, Ping, Ack, IndirectPing>;
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibMessages/Reason.h
@@ -0,0 +1,38 @@
+// Reasons that refusals and broken flows carry. The numbers are part of the wire format.
+
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace almondwing {
+
+enum class Reason : std::uint8_t {
+    None = 0,
+    UnknownService = 1,
+    NoTarget = 2,
+    TargetFull = 3,
+    QueueFull = 4,
+    DeadlineTooShort = 5,
+    DeadlinePassed = 6,
+    TargetShed = 7,
+    NoSecondCopy = 8,
+    FailureDomainUnreachable = 9,
+    FailureDomainTakenOut = 10,
+    InstanceStopping = 11,
+    LeaseExpired = 12,
+    Cancelled = 13,
+    DispatcherLost = 14,
+    TargetLost = 15,
+    TargetSilent = 16,
+    UnknownFlow = 17,
+    AnswerIncomplete = 18,
+    RetryBudgetSpent = 19,
+    LocateIncomplete = 20,
+    InstanceStarting = 21,
+};
+
+// The name as logs, metrics and `almondwingctl explain` show it, for example "queue-full".
+std::string_view reasonName(Reason reason);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibMessages/RequestMessages.h
@@ -0,0 +1,140 @@
+// Messages of requests between callers, instances and targets.
+//
+// A request ends in exactly one of three outcomes: answered (its last AnswerPart), NotRun or OutcomeUnknown.
+
+#pragma once
+
+#include <LibCore/Hash.h>
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+#include <LibMessages/Reason.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+enum class RequestClass : std::uint8_t { Urgent = 0, Interactive = 1, Bulk = 2 };
+
+enum class Idempotency : std::uint8_t { Idempotent = 0, NonIdempotent = 1 };
+
+// Names one request for its whole life, over all resends of the caller.
+struct RequestKey
+{
+    ServiceId service;
+    std::uint64_t caller = 0;
+    std::uint64_t number = 0;
+
+    friend constexpr auto operator<=>(RequestKey const &, RequestKey const &) = default;
+};
+
+struct Request
+{
+    RequestKey key;
+    std::uint32_t attempt = 1; // Counts the sends of the caller, from 1.
+    RequestClass requestClass = RequestClass::Interactive;
+    Idempotency idempotency = Idempotency::NonIdempotent;
+    Duration timeLeft{}; // Until the caller's deadline, at the time of sending.
+    std::string payload;
+
+    friend bool operator==(Request const &, Request const &) = default;
+};
+
+// A dispatcher hands a request to a target. Repeats of one try carry the same try id and start it once.
+struct RunRequest
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+    RequestClass requestClass = RequestClass::Interactive;
+    Idempotency idempotency = Idempotency::NonIdempotent;
+    Duration timeLeft{};
+    std::string payload;
+
+    friend bool operator==(RunRequest const &, RunRequest const &) = default;
+};
+
+// From a target: the try has been received and is being run.
+struct RequestStarted
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+
+    friend bool operator==(RequestStarted const &, RequestStarted const &) = default;
+};
+
+// From a target: the try was not run and will not be run.
+struct Shed
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+    Duration retryAfter{};
+
+    friend bool operator==(Shed const &, Shed const &) = default;
+};
+
+// From a caller (try id 0) or a dispatcher: the answer is no longer wanted.
+struct CancelRequest
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+
+    friend bool operator==(CancelRequest const &, CancelRequest const &) = default;
+};
+
+enum class PartPosition : std::uint8_t { Middle = 0, Last = 1 };
+
+// One numbered part of an answer, from 0. A target sends its try id; callers see the try that answered.
+struct AnswerPart
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+    std::uint32_t part = 0;
+    PartPosition position = PartPosition::Last;
+    std::string payload;
+
+    friend bool operator==(AnswerPart const &, AnswerPart const &) = default;
+};
+
+// Asks the sender of an answer for parts that did not arrive. A caller sends it with the try id of the parts
+// it has, a dispatcher with the try id of its try.
+struct ResendParts
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+    std::vector<std::uint32_t> parts;
+
+    friend bool operator==(ResendParts const &, ResendParts const &) = default;
+};
+
+// The request was not processed and will not be processed for this attempt.
+struct NotRun
+{
+    RequestKey key;
+    Reason reason = Reason::None;
+    Duration retryAfter{};
+
+    friend bool operator==(NotRun const &, NotRun const &) = default;
+};
+
+// The request may or may not have been processed; it will not be run again.
+struct OutcomeUnknown
+{
+    RequestKey key;
+    Reason reason = Reason::None;
+
+    friend bool operator==(OutcomeUnknown const &, OutcomeUnknown const &) = default;
+};
+
+} // namespace almondwing
+
+template<>
+struct std::hash<almondwing::RequestKey>
+{
+    std::size_t operator()(almondwing::RequestKey const &key) const noexcept
+    {
+        return almondwing::combineHashes(key.service.value,
+                                         almondwing::combineHashes(key.caller, key.number));
+    }
+};
--- /dev/null
+++ b/Libraries/LibState/RoutingView.h
@@ -0,0 +1,71 @@
+// An immutable snapshot of where each bucket of each service goes. Rebuilt when targets, members or the
+// configuration change; packets only read it.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+#include <LibManifest/Manifest.h>
+#include <LibMessages/PeerMessages.h>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace almondwing {
+
+// 4096 buckets keep the rounding of shares under 1% for 15 targets, and a claim bitmap at 512 bytes.
+constexpr std::size_t bucketCount = 4096;
+
+// The bucket of a flow or request; `key` is the hash of its FlowKey or RequestKey.
+constexpr std::uint16_t bucketOf(std::uint64_t key)
+{
+    return static_cast<std::uint16_t>(mixBits(key) % bucketCount);
+}
+
+// A target with what the view knows of it.
+struct RoutedTarget
+{
+    TargetRecord record;
+    TargetLimits limits; // Of the present ramp level.
+    TargetLimits fullLimits; // Of a warm target, from the manifest.
+    InstanceId dispatcher; // None while no instance of its failure domain is alive.
+    std::vector<InstanceId> replicaGroup; // In rendezvous order.
+
+    friend bool operator==(RoutedTarget const &, RoutedTarget const &) = default;
+};
+
+constexpr std::uint16_t noTarget = 0xffff;
+
+struct ServiceRoutes
+{
+    ServiceId id;
+    std::string name;
+    Endpoint address;
+    std::vector<RoutedTarget> targets; // Sorted by target id; all that are not gone.
+    std::array<std::uint16_t, bucketCount> buckets{}; // Index into targets, or noTarget.
+    std::array<Timestamp, bucketCount> changedAt{}; // When this instance last moved the bucket.
+
+    friend bool operator==(ServiceRoutes const &, ServiceRoutes const &) = default;
+};
+
+struct RoutingView
+{
+    std::uint64_t configurationVersion = 0;
+    std::unordered_map<ServiceId, std::shared_ptr<ServiceRoutes const>> services;
+    std::unordered_map<TargetId, ServiceId> serviceOfTarget;
+
+    ServiceRoutes const *findService(ServiceId service) const
+    {
+        auto const found = this->services.find(service);
+        return found == this->services.end() ? nullptr : found->second.get();
+    }
+
+    RoutedTarget const *findTarget(TargetId target) const;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Meta/CMake/AlmondwingTargets.cmake
@@ -0,0 +1,53 @@
+# Functions that define the project's libraries, programs and tests with the same warnings and sanitizers.
+
+set(ALMONDWING_SANITIZE "" CACHE STRING "Sanitizers to build with: empty, thread, or address,undefined")
+
+add_library(almondwing_options INTERFACE)
+target_compile_options(almondwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Werror
+    -fno-omit-frame-pointer)
+if(ALMONDWING_SANITIZE)
+    target_compile_options(almondwing_options INTERFACE -fsanitize=${ALMONDWING_SANITIZE} -fno-sanitize-recover=all -O1)
+    target_link_options(almondwing_options INTERFACE -fsanitize=${ALMONDWING_SANITIZE})
+    # g++ 12 reports false positives for these two warnings in instrumented standard library code.
+    target_compile_options(almondwing_options INTERFACE -Wno-maybe-uninitialized -Wno-tsan)
+endif()
+
+find_program(CCACHE ccache)
+if(CCACHE)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE})
+endif()
+
+# A library's headers are reached as <LibName/File.h> through a link farm with one folder for each library.
+# Only targets that link a library see its headers, so the order of libraries in docs/design.md is enforced.
+function(almondwing_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS;PRIVATE_LINKS" ${ARGN})
+    set(farm "${CMAKE_BINARY_DIR}/include/${name}")
+    file(MAKE_DIRECTORY "${farm}")
+    file(CREATE_LINK "${CMAKE_CURRENT_SOURCE_DIR}" "${farm}/${name}" SYMBOLIC)
+    if(ARG_SOURCES)
+        add_library(${name} STATIC ${ARG_SOURCES})
+        target_include_directories(${name} PUBLIC "${farm}")
+        target_link_libraries(${name} PUBLIC ${ARG_LINKS} PRIVATE almondwing_options ${ARG_PRIVATE_LINKS})
+    else()
+        add_library(${name} INTERFACE)
+        target_include_directories(${name} INTERFACE "${farm}")
+        target_link_libraries(${name} INTERFACE ${ARG_LINKS})
+    endif()
+endfunction()
+
+function(almondwing_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE almondwing_options ${ARG_LINKS})
+endfunction()
+
+# Defines the one test program of a library, Test<LibName>, and registers it with CTest.
+function(almondwing_test library)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    set(name "Test${library}")
+    add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/Tests/TestMain.cpp)
+    target_link_libraries(${name} PRIVATE almondwing_options ${library} ${ARG_LINKS} cppunit rapidcheck)
+    add_test(NAME ${library} COMMAND ${name})
+    # A fixed seed makes property tests repeat themselves; a failing case becomes a fixed case in the test file.
+    set_tests_properties(${library} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 600 LABELS library)
+endfunction()
