--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -13,12 +13,24 @@
 #include <LibState/RoutingView.h>
 #include <LibState/TargetUsage.h>
 
+#include <cstdint>
+
 namespace almondwing {
 
+// An update that still has to be spread with membership messages.
+struct PendingUpdate
+{
+    std::uint32_t transmissionsLeft = 0;
+
+    friend bool operator==(PendingUpdate const &, PendingUpdate const &) = default;
+};
+
 struct Blackboard
 {
     ShardedTable<InstanceId, MemberRecord, 8> members; // Writer: membership.
     ShardedTable<TargetId, TargetRecord, 16> targets; // Writers: targets (own ones), membership (others').
+    ShardedTable<InstanceId, PendingUpdate, 8> memberUpdates; // Writer: membership.
+    ShardedTable<TargetId, PendingUpdate, 16> targetUpdates; // Writers: targets (adds), membership (spreads).
     ShardedTable<TargetId, ClaimUpdate, 16> claims; // Writer: claims.
     ShardedTable<TargetId, TargetUsage, 16> usage; // Writers: flows, requests; reader: targets.
     ShardedTable<FlowKey, FlowRecord> flows; // Writer: flows.
