Wire: Add the protobuf-lite codec of all datagrams

The front end and the stand-ins need one encoding of the messages in LibMessages that refuses malformed, foreign and misdirected input before decision code sees it.

The body of the envelope tells the socket a message belongs to, so a caller can't send a target's message. Every scalar has explicit presence: a zero differs from a missing field. Enums, ports and durations are checked for their range. Encoding returns a StatusOr, because lists as well as payloads can exceed the 1400 bytes of a datagram.

With the range check switched off everyReasonIsInRange and enumsOutOfRangeAreRefused fail; with the presence check off missingFieldsAreRefused fails.

--- /dev/null
+++ b/Libraries/LibWire/FieldReader.h
@@ -0,0 +1,59 @@
+// Checks the fields of one datagram while it is decoded. The first fault is kept, and reading goes on with
+// default values, so that the readers of messages need no error paths of their own.
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibMessages/Reason.h>
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+
+namespace almondwing {
+
+class FieldReader
+{
+public:
+    absl::Status const &status() const { return this->firstFault; }
+
+    void fail(std::string_view fault);
+
+    template<typename Value>
+    Value required(bool isPresent, Value const &value, std::string_view field)
+    {
+        this->checkPresence(isPresent, field);
+        return value;
+    }
+
+    std::string payload(bool isPresent, std::string const &bytes, std::string_view field);
+    Duration duration(bool isPresent, std::uint64_t microseconds, std::string_view field);
+
+    template<typename Enum>
+    Enum enumeration(bool isPresent, std::uint32_t number, Enum last, std::string_view field)
+    {
+        return static_cast<Enum>(this->bounded(isPresent, number, static_cast<std::uint8_t>(last), field));
+    }
+
+    template<typename Integer>
+    Integer narrow(bool isPresent, std::uint32_t number, std::string_view field)
+    {
+        return static_cast<Integer>(
+            this->bounded(isPresent, number, std::numeric_limits<Integer>::max(), field));
+    }
+
+private:
+    void checkPresence(bool isPresent, std::string_view field);
+    std::uint32_t bounded(bool isPresent, std::uint32_t number, std::uint32_t maximum,
+                          std::string_view field);
+
+    absl::Status firstFault;
+};
+
+} // namespace almondwing
+
+// Pass a required field with its presence and its name. `message` is a generated message.
+#define REQUIRED_FIELD(message, field) (message).has_##field(), (message).field(), #field
--- /dev/null
+++ b/Tests/Fuzz/FuzzWire.cpp
@@ -0,0 +1,41 @@
+// libFuzzer entry point: no input may crash a decoder, and what decodes must encode and decode to the same.
+
+#include <LibCore/Verify.h>
+#include <LibWire/WireCodec.h>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace {
+
+using namespace almondwing;
+
+// A random cluster id would cost the fuzzer most of its time.
+constexpr WireCodec codec{.clusterId = 0};
+
+template<typename Message, typename Decode>
+void check(absl::StatusOr<Message> const &decoded, Decode const &decode)
+{
+    if (!decoded.ok())
+        return;
+    auto const encoded = codec.encode(*decoded);
+    VERIFY(encoded.ok());
+    auto const again = decode(*encoded);
+    VERIFY(again.ok());
+    VERIFY(*again == *decoded);
+}
+
+} // namespace
+
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const *data, std::size_t size)
+{
+    std::string_view const datagram(reinterpret_cast<char const *>(data), size);
+    auto const run = [datagram](auto const &decode) { check(decode(datagram), decode); };
+    run([](std::string_view input) { return codec.decodeCallerMessage(input); });
+    run([](std::string_view input) { return codec.decodeCallerReply(input); });
+    run([](std::string_view input) { return codec.decodeTargetCommand(input); });
+    run([](std::string_view input) { return codec.decodeTargetMessage(input); });
+    run([](std::string_view input) { return codec.decodePeerDatagram(input); });
+    return 0;
+}
--- /dev/null
+++ b/Tests/LibWire/MessageGenerators.h
@@ -0,0 +1,15 @@
+// Random messages of every kind for property tests. Call these only inside rc::check.
+
+#pragma once
+
+#include <LibMessages/PeerMessages.h>
+
+namespace almondwing {
+
+CallerMessage pickCallerMessage();
+CallerReply pickCallerReply();
+TargetCommand pickTargetCommand();
+TargetMessage pickTargetMessage();
+PeerMessage pickPeerMessage();
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibWire/WireCodecTest.cpp
@@ -0,0 +1,304 @@
+// Tests of the wire codec against lost content and against hostile input.
+
+#include "MessageGenerators.h"
+
+#include <LibWire/WireCodec.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <functional>
+
+namespace almondwing {
+
+namespace {
+
+WireCodec const codec = WireCodec::forCluster("sk-central");
+
+absl::StatusOr<CallerMessage> decode(CallerMessage const &, std::string_view datagram)
+{
+    return codec.decodeCallerMessage(datagram);
+}
+
+absl::StatusOr<CallerReply> decode(CallerReply const &, std::string_view datagram)
+{
+    return codec.decodeCallerReply(datagram);
+}
+
+absl::StatusOr<TargetCommand> decode(TargetCommand const &, std::string_view datagram)
+{
+    return codec.decodeTargetCommand(datagram);
+}
+
+absl::StatusOr<TargetMessage> decode(TargetMessage const &, std::string_view datagram)
+{
+    return codec.decodeTargetMessage(datagram);
+}
+
+absl::StatusOr<PeerDatagram> decode(PeerDatagram const &, std::string_view datagram)
+{
+    return codec.decodePeerDatagram(datagram);
+}
+
+PeerDatagram pickPeerDatagram()
+{
+    return {.from = InstanceId{*rc::gen::arbitrary<std::uint64_t>()}, .message = pickPeerMessage()};
+}
+
+template<typename Message>
+void expectRoundTrip(Message const &message)
+{
+    auto const datagram = codec.encode(message);
+    RC_ASSERT(datagram.ok());
+    RC_ASSERT(datagram->size() <= maximumDatagramBytes);
+    auto const decoded = decode(message, *datagram);
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(*decoded == message);
+}
+
+// Something that decodes must be a message that can be sent on and arrives unchanged.
+template<typename Message>
+void expectRefusedOrValid(Message const &message, std::string_view datagram)
+{
+    auto const decoded = decode(message, datagram);
+    if (decoded.ok())
+        expectRoundTrip(*decoded);
+}
+
+template<typename Message>
+void expectTruncationsHandled(Message const &message)
+{
+    auto const datagram = codec.encode(message);
+    RC_ASSERT(datagram.ok());
+    for (std::size_t size = 0; size < datagram->size(); ++size)
+        expectRefusedOrValid(message, std::string_view(*datagram).substr(0, size));
+}
+
+template<typename Message>
+void expectBitFlipsHandled(Message const &message)
+{
+    auto const datagram = codec.encode(message);
+    RC_ASSERT(datagram.ok());
+    for (std::size_t bit = 0; bit < datagram->size() * 8; ++bit) {
+        std::string changed = *datagram;
+        changed[bit / 8] =
+            static_cast<char>(static_cast<unsigned char>(changed[bit / 8]) ^ (1U << (bit % 8)));
+        expectRefusedOrValid(message, changed);
+    }
+}
+
+Forwarded largestForwarded()
+{
+    Request const request{.key = {.service = ServiceId{~0ULL}, .caller = ~0ULL, .number = ~0ULL},
+                          .attempt = ~0U,
+                          .requestClass = RequestClass::Bulk,
+                          .idempotency = Idempotency::NonIdempotent,
+                          .timeLeft = maximumWireDuration,
+                          .payload = std::string(maximumPayloadBytes, 'x')};
+    return {.caller = {.address = ~0U, .port = 65535},
+            .purpose = ForwardPurpose::Spill,
+            .hops = 255,
+            .origin = InstanceId{~0ULL},
+            .candidates = std::vector(8, TargetId{~0ULL}),
+            .message = request};
+}
+
+} // namespace
+
+class WireCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WireCodecTest);
+    CPPUNIT_TEST(everyMessageSurvivesTheRoundTrip);
+    CPPUNIT_TEST(truncatedDatagramsAreHandled);
+    CPPUNIT_TEST(bitFlipsAreHandled);
+    CPPUNIT_TEST(messagesOfOtherSocketsAreRefused);
+    CPPUNIT_TEST(foreignClusterIsRefused);
+    CPPUNIT_TEST(otherVersionIsRefused);
+    CPPUNIT_TEST(largestForwardedRequestFits);
+    CPPUNIT_TEST(oversizedInputIsRefused);
+    CPPUNIT_TEST(unorderedClaimIsRefused);
+    CPPUNIT_TEST(durationsAreCutToTheWireRange);
+    CPPUNIT_TEST(everyReasonIsInRange);
+    CPPUNIT_TEST(missingFieldsAreRefused);
+    CPPUNIT_TEST(enumsOutOfRangeAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a field that the codec forgets or mixes up with another.
+    void everyMessageSurvivesTheRoundTrip()
+    {
+        CPPUNIT_ASSERT(rc::check([] { expectRoundTrip(pickCallerMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectRoundTrip(pickCallerReply()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectRoundTrip(pickTargetCommand()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectRoundTrip(pickTargetMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectRoundTrip(pickPeerDatagram()); }));
+    }
+
+    // Guards against a cut datagram that crashes the receiver or passes as a message with default values.
+    void truncatedDatagramsAreHandled()
+    {
+        CPPUNIT_ASSERT(rc::check([] { expectTruncationsHandled(pickCallerMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectTruncationsHandled(pickCallerReply()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectTruncationsHandled(pickTargetCommand()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectTruncationsHandled(pickTargetMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectTruncationsHandled(pickPeerDatagram()); }));
+    }
+
+    // Guards against values outside their enum or range that reach decision code.
+    void bitFlipsAreHandled()
+    {
+        CPPUNIT_ASSERT(rc::check([] { expectBitFlipsHandled(pickCallerMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectBitFlipsHandled(pickCallerReply()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectBitFlipsHandled(pickTargetCommand()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectBitFlipsHandled(pickTargetMessage()); }));
+        CPPUNIT_ASSERT(rc::check([] { expectBitFlipsHandled(pickPeerDatagram()); }));
+    }
+
+    // Guards against a caller that passes itself off as a target or an instance.
+    void messagesOfOtherSocketsAreRefused()
+    {
+        OpenFlow const open{.key = {.service = ServiceId{1}, .flow = 2}, .payload = "x"};
+        std::string const fromCaller = codec.encode(CallerMessage(open)).value();
+        std::string const toTarget = codec.encode(TargetCommand(open)).value();
+        CPPUNIT_ASSERT(codec.decodeCallerMessage(fromCaller).ok());
+        CPPUNIT_ASSERT(!codec.decodeTargetCommand(fromCaller).ok());
+        CPPUNIT_ASSERT(!codec.decodeCallerReply(fromCaller).ok());
+        CPPUNIT_ASSERT(!codec.decodeTargetMessage(fromCaller).ok());
+        CPPUNIT_ASSERT(!codec.decodePeerDatagram(fromCaller).ok());
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage(toTarget).ok());
+    }
+
+    // Guards against instances of two clusters that mix their state after a wrong address in the settings.
+    void foreignClusterIsRefused()
+    {
+        auto const datagram = codec.encode(CallerMessage(CloseFlow{}));
+        CPPUNIT_ASSERT(codec.decodeCallerMessage(*datagram).ok());
+        CPPUNIT_ASSERT(!WireCodec::forCluster("tz-dar").decodeCallerMessage(*datagram).ok());
+    }
+
+    // Guards against a later release whose fields have another meaning.
+    void otherVersionIsRefused()
+    {
+        std::string datagram = codec.encode(CallerMessage(CloseFlow{})).value();
+        // The envelope starts with the version: tag 0x08, then the number.
+        CPPUNIT_ASSERT_EQUAL('\x08', datagram[0]);
+        CPPUNIT_ASSERT_EQUAL('\x01', datagram[1]);
+        datagram[1] = '\x02';
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage(datagram).ok());
+    }
+
+    // Guards against a request that a caller may send but an instance can't pass on.
+    void largestForwardedRequestFits()
+    {
+        auto const datagram = codec.encode(PeerDatagram{InstanceId{~0ULL}, largestForwarded()});
+        CPPUNIT_ASSERT_MESSAGE(std::string(datagram.status().message()), datagram.ok());
+    }
+
+    // Guards against datagrams that IP would fragment, and against peers that ignore the limits.
+    void oversizedInputIsRefused()
+    {
+        Forwarded forwarded = largestForwarded();
+        std::get<Request>(forwarded.message).payload.push_back('x');
+        CPPUNIT_ASSERT(
+            absl::IsResourceExhausted(codec.encode(PeerDatagram{InstanceId{1}, forwarded}).status()));
+        CPPUNIT_ASSERT(absl::IsResourceExhausted(codec.encode(CallerMessage(forwarded.message)).status()));
+        ResendParts const many{.key = {}, .tryId = 0, .parts = std::vector(400, ~0U)};
+        CPPUNIT_ASSERT(absl::IsResourceExhausted(codec.encode(CallerMessage(many)).status()));
+
+        std::string const datagram = codec.encode(CallerMessage(CloseFlow{})).value();
+        // Unknown field 15 of type bytes pads the datagram beyond its limit.
+        std::string const padded = datagram + "\x7a\xf0\x0a" + std::string(1392, 'x');
+        CPPUNIT_ASSERT(padded.size() > maximumDatagramBytes);
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage(padded).ok());
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage("").ok());
+    }
+
+    // Guards against a claim whose list form and bitmap form differ.
+    void unorderedClaimIsRefused()
+    {
+        using Buckets = std::vector<std::uint16_t>;
+        for (auto const &buckets : {Buckets{2, 1}, Buckets{1, 1}, Buckets{4096}}) {
+            auto const status = codec.encode(PeerDatagram{InstanceId{1}, ClaimUpdate{{}, {}, {}, buckets}});
+            CPPUNIT_ASSERT(absl::IsInvalidArgument(status.status()));
+        }
+    }
+
+    // Guards against a deadline that has passed and comes back as a very long one.
+    void durationsAreCutToTheWireRange()
+    {
+        auto const roundTrip = [](Duration timeLeft) {
+            Request request;
+            request.timeLeft = timeLeft;
+            auto const decoded = codec.decodeCallerMessage(codec.encode(CallerMessage(request)).value());
+            return std::get<Request>(decoded.value()).timeLeft;
+        };
+        CPPUNIT_ASSERT(roundTrip(-1s) == Duration{});
+        CPPUNIT_ASSERT(roundTrip(2400h) == maximumWireDuration);
+    }
+
+    // Guards against a new reason that the decoder refuses because its range was not extended.
+    void everyReasonIsInRange()
+    {
+        int number = 0;
+        for (; reasonName(static_cast<Reason>(number)) != "unknown-reason"; ++number) {
+            FlowBroken const broken{.key = {}, .reason = static_cast<Reason>(number)};
+            CPPUNIT_ASSERT(codec.decodeCallerReply(codec.encode(CallerReply(broken)).value()).ok());
+        }
+        FlowBroken const beyond{.key = {}, .reason = static_cast<Reason>(number)};
+        CPPUNIT_ASSERT(!codec.decodeCallerReply(codec.encode(CallerReply(beyond)).value()).ok());
+    }
+
+    // Guards against a message without its key or kind that passes as one for service 0.
+    void missingFieldsAreRefused()
+    {
+        std::string const datagram = codec.encode(CallerMessage(CloseFlow{})).value();
+        constexpr std::size_t headerBytes = 11; // Version and cluster, each with its tag.
+        std::string const header = datagram.substr(0, headerBytes);
+        auto const isAccepted = [&](std::string const &body) {
+            return codec.decodeCallerMessage(header + body).ok();
+        };
+        CPPUNIT_ASSERT(isAccepted(datagram.substr(headerBytes)));
+        std::string const service = "\x09" + std::string(8, '\1');
+        for (std::string const &body : {
+                 std::string(), // No body.
+                 std::string("\x22\x00", 2), // Caller message without a kind.
+                 std::string("\x22\x02\x1a\x00", 4), // CloseFlow without a key.
+                 std::string("\x22\x04\x1a\x02\x0a\x00", 6), // Key without fields.
+                 "\x22\x0d\x1a\x0b\x0a\x09" + service, // Key with only its service.
+             })
+            CPPUNIT_ASSERT(!isAccepted(body));
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage(datagram.substr(headerBytes)).ok());
+        CPPUNIT_ASSERT(!codec.decodeCallerMessage(datagram.substr(2)).ok());
+    }
+
+    // Guards against an enum value without a name that reaches a switch in decision code.
+    void enumsOutOfRangeAreRefused()
+    {
+        Request badClass;
+        badClass.requestClass = static_cast<RequestClass>(3);
+        Request badIdempotency;
+        badIdempotency.idempotency = static_cast<Idempotency>(2);
+        Request badAttempt;
+        badAttempt.attempt = 0;
+        for (Request const &request : {badClass, badIdempotency, badAttempt})
+            CPPUNIT_ASSERT(!codec.decodeCallerMessage(codec.encode(CallerMessage(request)).value()).ok());
+        AnswerPart part;
+        part.position = static_cast<PartPosition>(2);
+        CPPUNIT_ASSERT(!codec.decodeCallerReply(codec.encode(CallerReply(part)).value()).ok());
+
+        Forwarded forwarded;
+        forwarded.purpose = static_cast<ForwardPurpose>(4);
+        RecordReply const recordReply{.key = {}, .tryId = 0, .verdict = static_cast<RecordVerdict>(3)};
+        LocateReply const locateReply{.key = {}, .verdict = static_cast<LocateVerdict>(2)};
+        Ping member;
+        member.gossip.members.emplace_back().state = static_cast<MemberState>(4);
+        Ping target;
+        target.gossip.targets.emplace_back().state = static_cast<TargetState>(5);
+        for (PeerMessage const &message :
+             std::vector<PeerMessage>{forwarded, recordReply, locateReply, member, target})
+            CPPUNIT_ASSERT(!codec.decodePeerDatagram(codec.encode(PeerDatagram{{}, message}).value()).ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WireCodecTest);
+
+} // namespace almondwing
