Manifest: Read, check and change manifests

Cause: operators' build pipelines generate manifests as JSON; the log and the instances need them as values. Change: add the JSON form with all errors reported at once by path, the checks, and the operations that take failure domains out, drain targets and apply a generated manifest without losing operator states. JsonReader collects errors and finds keys that occur twice, which the JSON library would silently drop. Conclusion: the configuration state machine can be built on these values.

--- /dev/null
+++ b/Libraries/LibManifest/InputError.h
@@ -0,0 +1,33 @@
+// One error in something that an operator wrote: where it is, what was found and what is allowed.
+
+#pragma once
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondwing {
+
+struct InputError
+{
+    std::string path; // Such as services[2].address; empty for the whole document.
+    std::string value; // As found, shortened; "(absent)" if there is none.
+    std::string allowed;
+
+    std::string toString() const;
+
+    friend auto operator<=>(InputError const &, InputError const &) = default;
+};
+
+// Never empty where it stands for a failure.
+using InputErrors = std::vector<InputError>;
+
+// A text from outside in quotes, shortened and in printable ASCII, so that it can neither forge log lines nor
+// send control sequences to a terminal.
+std::string quotedValue(std::string_view text);
+
+// Shortens text that is printable ASCII.
+std::string abbreviated(std::string text);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibManifest/JsonReader.cpp
@@ -0,0 +1,248 @@
+// Reads JSON with nlohmann/json.
+
+#include <LibManifest/JsonReader.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace almondwing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json const &jsonOf(void const *node)
+{
+    return *static_cast<Json const *>(node);
+}
+
+std::string memberPath(std::string const &parent, std::string_view key)
+{
+    auto const isPlain = [](char character) {
+        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+            || (character >= '0' && character <= '9') || character == '_' || character == '-';
+    };
+    constexpr std::size_t maximumPlainLength = 63;
+    bool const isPlainKey =
+        !key.empty() && key.size() <= maximumPlainLength && std::ranges::all_of(key, isPlain);
+    std::string const shownKey = isPlainKey ? std::string(key) : quotedValue(key);
+    return parent.empty() ? shownKey : fmt::format("{}.{}", parent, shownKey);
+}
+
+std::string dumped(Json const &value)
+{
+    return value.dump(-1, ' ', true, Json::error_handler_t::replace);
+}
+
+// Finds keys that occur twice in an object. The JSON library silently keeps only the last of them, so that an
+// operator's change could be lost.
+class DuplicateKeyFinder
+{
+public:
+    explicit DuplicateKeyFinder(InputErrors &errorList) : errors(errorList) { }
+
+    void handle(Json::parse_event_t event, Json const &parsed)
+    {
+        switch (event) {
+        case Json::parse_event_t::object_start:
+        case Json::parse_event_t::array_start:
+            this->frames.push_back(Frame{.path = this->pathOfNext()});
+            break;
+        case Json::parse_event_t::key:
+            this->handleKey(parsed.get<std::string>());
+            break;
+        case Json::parse_event_t::object_end:
+        case Json::parse_event_t::array_end:
+            this->frames.pop_back();
+            this->finishValue();
+            break;
+        case Json::parse_event_t::value:
+            this->finishValue();
+            break;
+        }
+    }
+
+private:
+    struct Frame
+    {
+        std::string path;
+        std::set<std::string> keys = {};
+        std::string key = {}; // Of the value that comes next; empty in arrays.
+        std::size_t index = 0; // Of the value that comes next; used in arrays.
+    };
+
+    std::string pathOfNext() const
+    {
+        if (this->frames.empty())
+            return "";
+        Frame const &frame = this->frames.back();
+        return frame.keys.empty() ? fmt::format("{}[{}]", frame.path, frame.index)
+                                  : memberPath(frame.path, frame.key);
+    }
+
+    void handleKey(std::string const &key)
+    {
+        Frame &frame = this->frames.back();
+        frame.key = key;
+        if (!frame.keys.insert(key).second)
+            this->errors.push_back(
+                {.path = memberPath(frame.path, key), .value = "a second value", .allowed = "each key once"});
+    }
+
+    void finishValue()
+    {
+        if (!this->frames.empty())
+            ++this->frames.back().index;
+    }
+
+    InputErrors &errors;
+    std::vector<Frame> frames; // Open objects and arrays, outermost first.
+};
+
+} // namespace
+
+void JsonValue::report(std::string allowed) const
+{
+    this->errors->push_back(
+        {.path = this->location,
+         .value = this->node == nullptr ? "(absent)" : abbreviated(dumped(jsonOf(this->node))),
+         .allowed = std::move(allowed)});
+}
+
+void JsonValue::allowKeys(std::initializer_list<std::string_view> keys) const
+{
+    if (!this->isPresent())
+        return;
+    Json const &json = jsonOf(this->node);
+    std::string const allowed = fmt::format("an object with the keys {}", fmt::join(keys, ", "));
+    if (!json.is_object()) {
+        this->report(allowed);
+        return;
+    }
+    for (auto const &[key, value] : json.items()) {
+        if (std::ranges::find(keys, std::string_view(key)) == keys.end())
+            JsonValue(&value, memberPath(this->location, key), this->errors).report(allowed);
+    }
+}
+
+JsonValue JsonValue::find(std::string_view key) const
+{
+    JsonValue absent(nullptr, memberPath(this->location, key), this->errors);
+    if (!this->isPresent() || !jsonOf(this->node).is_object())
+        return absent;
+    Json const &json = jsonOf(this->node);
+    auto const found = json.find(std::string(key));
+    return found == json.end() ? absent : JsonValue(&*found, absent.location, this->errors);
+}
+
+JsonValue JsonValue::optionalMember(std::string_view key) const
+{
+    return this->find(key);
+}
+
+JsonValue JsonValue::member(std::string_view key) const
+{
+    JsonValue found = this->find(key);
+    // An absent or mistyped parent has been reported; one message for each of its members would add nothing.
+    if (!found.isPresent() && this->isPresent() && jsonOf(this->node).is_object())
+        found.report("a value");
+    return found;
+}
+
+std::vector<JsonValue> JsonValue::elements() const
+{
+    std::vector<JsonValue> result;
+    if (!this->isPresent())
+        return result;
+    Json const &json = jsonOf(this->node);
+    if (!json.is_array()) {
+        this->report("a list");
+        return result;
+    }
+    result.reserve(json.size());
+    for (Json const &element : json)
+        result.push_back(
+            JsonValue(&element, fmt::format("{}[{}]", this->location, result.size()), this->errors));
+    return result;
+}
+
+bool JsonValue::isText() const
+{
+    return this->isPresent() && jsonOf(this->node).is_string();
+}
+
+std::string JsonValue::text() const
+{
+    if (!this->isPresent())
+        return "";
+    if (this->isText())
+        return jsonOf(this->node).get<std::string>();
+    this->report("a text");
+    return "";
+}
+
+std::uint64_t JsonValue::number(std::uint64_t minimum, std::uint64_t maximum) const
+{
+    if (!this->isPresent())
+        return minimum;
+    Json const &json = jsonOf(this->node);
+    if (json.is_number_unsigned()) {
+        auto const number = json.get<std::uint64_t>();
+        if (number >= minimum && number <= maximum)
+            return number;
+    }
+    this->report(fmt::format("a whole number from {} to {}", minimum, maximum));
+    return minimum;
+}
+
+std::int64_t JsonValue::signedNumber() const
+{
+    if (!this->isPresent())
+        return 0;
+    Json const &json = jsonOf(this->node);
+    // Unsigned numbers beyond the signed range would wrap around.
+    if (json.is_number_integer() && (!json.is_number_unsigned() || json.get<std::uint64_t>() <= INT64_MAX))
+        return json.get<std::int64_t>();
+    this->report("a whole number of 64 bits");
+    return 0;
+}
+
+bool JsonValue::truth() const
+{
+    if (!this->isPresent())
+        return false;
+    if (jsonOf(this->node).is_boolean())
+        return jsonOf(this->node).get<bool>();
+    this->report("true or false");
+    return false;
+}
+
+std::string JsonValue::document() const
+{
+    return this->isPresent() ? jsonOf(this->node).dump(-1, ' ', false, Json::error_handler_t::replace) : "";
+}
+
+JsonDocument::JsonDocument(std::string const &text) : errorList(std::make_unique<InputErrors>())
+{
+    DuplicateKeyFinder finder(*this->errorList);
+    auto const callback = [&finder](int, Json::parse_event_t event, Json &parsed) {
+        finder.handle(event, parsed);
+        return true;
+    };
+    try {
+        this->tree = std::make_shared<Json const>(Json::parse(text, callback));
+    } catch (Json::exception const &error) {
+        this->errorList->push_back(
+            {.path = "", .value = quotedValue(text), .allowed = fmt::format("JSON ({})", error.what())});
+    }
+}
+
+JsonValue JsonDocument::root()
+{
+    return {this->tree.get(), "", this->errorList.get()};
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibManifest/JsonReader.h
@@ -0,0 +1,89 @@
+// Reads a JSON document field by field and collects all errors with their paths, instead of stopping at the
+// first one. Hides the JSON library from the codecs' callers.
+
+#pragma once
+
+#include <LibManifest/InputError.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace almondwing {
+
+// A value inside a JsonDocument, which must outlive it. Reading an absent value gives a default without
+// another report, because its absence has been reported where it matters.
+class JsonValue
+{
+public:
+    bool isPresent() const { return this->node != nullptr; }
+    std::string const &path() const { return this->location; }
+
+    // Reports unless the value is an object with no other keys than these.
+    void allowKeys(std::initializer_list<std::string_view> keys) const;
+
+    JsonValue member(std::string_view key) const; // Reports an absent member.
+    JsonValue optionalMember(std::string_view key) const;
+
+    // The following report a value of another type, or out of range.
+    std::vector<JsonValue> elements() const;
+    std::string text() const;
+    std::uint64_t number(std::uint64_t minimum, std::uint64_t maximum) const;
+    std::int64_t signedNumber() const;
+    bool truth() const;
+
+    template<typename Choice>
+    Choice choice(std::initializer_list<std::pair<std::string_view, Choice>> choices) const
+    {
+        std::string const found = this->isPresent() ? this->text() : std::string();
+        std::string allowed;
+        for (auto const &[name, choice] : choices) {
+            if (name == found)
+                return choice;
+            allowed.append(allowed.empty() ? "\"" : " or \"").append(name).append("\"");
+        }
+        if (this->isText())
+            this->report(allowed);
+        return choices.begin()->second;
+    }
+
+    // The text of this value as a JSON document of its own.
+    std::string document() const;
+
+    void report(std::string allowed) const;
+
+private:
+    friend class JsonDocument;
+
+    JsonValue(void const *nodeInDocument, std::string pathInDocument, InputErrors *errorList)
+        : node(nodeInDocument), location(std::move(pathInDocument)), errors(errorList)
+    {
+    }
+
+    JsonValue find(std::string_view key) const;
+    bool isText() const;
+
+    void const *node; // Null if absent; else a value of the JSON library inside the document.
+    std::string location;
+    InputErrors *errors; // Of the document; never null.
+};
+
+class JsonDocument
+{
+public:
+    // Text that is no JSON, and keys that occur twice in an object, are errors as well.
+    explicit JsonDocument(std::string const &text);
+
+    JsonValue root();
+    InputErrors const &errors() const { return *this->errorList; }
+
+private:
+    std::shared_ptr<void const> tree; // Null if the text is no JSON.
+    std::unique_ptr<InputErrors> errorList; // On the heap, so that values stay valid when the document moves.
+};
+
+} // namespace almondwing
--- a/Libraries/LibManifest/Manifest.h
+++ b/Libraries/LibManifest/Manifest.h
@@ -45,7 +45,7 @@
 struct Service
 {
     std::string name;
-    Endpoint address; // Where callers send packets.
+    Endpoint address = {}; // Where callers send packets.
     std::string pool;
 
     friend auto operator<=>(Service const &, Service const &) = default;
@@ -56,10 +56,10 @@
 struct Manifest
 {
     std::string deployment;
-    std::vector<FailureDomain> failureDomains;
-    std::vector<TargetPool> pools;
-    std::vector<Service> services;
-    std::vector<std::string> drainingTargets; // Names, sorted.
+    std::vector<FailureDomain> failureDomains = {};
+    std::vector<TargetPool> pools = {};
+    std::vector<Service> services = {};
+    std::vector<std::string> drainingTargets = {}; // Names, sorted.
 
     friend auto operator<=>(Manifest const &, Manifest const &) = default;
 };
--- /dev/null
+++ b/Libraries/LibManifest/ManifestOperations.cpp
@@ -0,0 +1,99 @@
+// Decides changes of a manifest.
+
+#include <LibManifest/ManifestOperations.h>
+
+#include <LibManifest/InputError.h>
+#include <LibManifest/ManifestCheck.h>
+#include <LibManifest/Name.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+bool hasDomainInService(Manifest const &manifest)
+{
+    return std::ranges::find(manifest.failureDomains, FailureDomainState::InService, &FailureDomain::state)
+        != manifest.failureDomains.end();
+}
+
+std::string namesOf(std::vector<FailureDomain> const &domains)
+{
+    std::string names;
+    for (FailureDomain const &domain : domains)
+        names.append(names.empty() ? "" : ", ").append(domain.name);
+    return names.empty() ? "none, because no manifest has been applied" : names;
+}
+
+} // namespace
+
+ProposedManifest ProposedManifest::withAllStates(Manifest manifest)
+{
+    ProposedManifest proposal{.manifest = std::move(manifest), .drainingList = DrainingList::Named};
+    for (FailureDomain const &domain : proposal.manifest.failureDomains)
+        proposal.domainsWithState.push_back(domain.name);
+    return proposal;
+}
+
+absl::StatusOr<Manifest> setFailureDomainState(Manifest const &manifest, std::string const &domain,
+                                               FailureDomainState state, LastDomainPolicy policy)
+{
+    Manifest changed = manifest;
+    auto const found = std::ranges::find(changed.failureDomains, domain, &FailureDomain::name);
+    if (found == changed.failureDomains.end())
+        return absl::NotFoundError(fmt::format("failure domain {} does not exist; existing: {}",
+                                               quotedValue(domain), namesOf(manifest.failureDomains)));
+    if (found->state == state)
+        return changed;
+    found->state = state;
+    if (policy == LastDomainPolicy::Refuse && !hasDomainInService(changed))
+        return absl::FailedPreconditionError(fmt::format(
+            "failure domain \"{}\" is the last one in service; taking it out stops all services and has to "
+            "be forced",
+            domain));
+    return changed;
+}
+
+absl::StatusOr<Manifest> setTargetDraining(Manifest const &manifest, std::string const &target,
+                                           DrainState state)
+{
+    if (!isValidName(target))
+        return absl::InvalidArgumentError(
+            fmt::format("{} is not the name of a target; allowed: {}", quotedValue(target), allowedNames));
+    Manifest changed = manifest;
+    auto &targets = changed.drainingTargets;
+    auto const position = std::ranges::lower_bound(targets, target);
+    bool const isDraining = position != targets.end() && *position == target;
+    if (state == DrainState::Active && isDraining)
+        targets.erase(position);
+    if (state == DrainState::Draining && !isDraining) {
+        if (targets.size() >= maximumDrainingTargets)
+            return absl::ResourceExhaustedError(
+                fmt::format("{} targets are draining already, which is the limit", targets.size()));
+        targets.insert(position, target);
+    }
+    return changed;
+}
+
+absl::StatusOr<Manifest> applyProposal(Manifest const &current, ProposedManifest const &proposal)
+{
+    Manifest merged = proposal.manifest;
+    for (FailureDomain &domain : merged.failureDomains) {
+        if (std::ranges::find(proposal.domainsWithState, domain.name) != proposal.domainsWithState.end())
+            continue;
+        auto const known = std::ranges::find(current.failureDomains, domain.name, &FailureDomain::name);
+        domain.state = known == current.failureDomains.end() ? FailureDomainState::InService : known->state;
+    }
+    if (proposal.drainingList == DrainingList::Unnamed)
+        merged.drainingTargets = current.drainingTargets;
+    std::ranges::sort(merged.drainingTargets);
+    bool const wasForcedBefore = !current.failureDomains.empty() && !hasDomainInService(current);
+    if (!hasDomainInService(merged) && !wasForcedBefore)
+        return absl::FailedPreconditionError("the manifest would leave no failure domain in service");
+    return merged;
+}
+
+} // namespace almondwing
