--- a/Libraries/LibManifest/InputError.h
+++ b/Libraries/LibManifest/InputError.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,11 +24,14 @@
 // Never empty where it stands for a failure.
 using InputErrors = std::vector<InputError>;
 
+// Enough to recognize a value; a whole list in every message would hide the other messages.
+constexpr std::size_t maximumValueLength = 64;
+
 // A text from outside in quotes, shortened and in printable ASCII, so that it can neither forge log lines nor
 // send control sequences to a terminal.
-std::string quotedValue(std::string_view text);
+std::string quotedValue(std::string_view text, std::size_t maximumLength = maximumValueLength);
 
 // Shortens text that is printable ASCII.
-std::string abbreviated(std::string text);
+std::string abbreviated(std::string text, std::size_t maximumLength = maximumValueLength);
 
 } // namespace almondwing
--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -0,0 +1,84 @@
+// The settings of one daemon as values.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibCore/EventCatalogue.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+// The four sockets of an instance.
+struct ListenSettings
+{
+    Endpoint entry = {}; // UDP, callers through the fabric.
+    Endpoint target = {}; // UDP, answers of targets.
+    Endpoint peer = {}; // UDP, other instances.
+    Endpoint http = {}; // TCP.
+
+    friend auto operator<=>(ListenSettings const &, ListenSettings const &) = default;
+};
+
+// Whether an instance has a data folder and takes part in the replicated log.
+enum class ControlRole : std::uint8_t { None, Control };
+
+// An instance that is known from the start. Others become known through membership.
+struct PeerSettings
+{
+    std::string name;
+    std::string failureDomain;
+    Endpoint peer = {};
+    Endpoint http = {};
+    ControlRole role = ControlRole::None;
+
+    friend auto operator<=>(PeerSettings const &, PeerSettings const &) = default;
+};
+
+struct OperatorSettings
+{
+    std::string name;
+    std::string tokenHash; // As returned by hashToken().
+
+    friend auto operator<=>(OperatorSettings const &, OperatorSettings const &) = default;
+};
+
+struct LogSettings
+{
+    std::string folder = {}; // Absolute.
+    Severity level = Severity::Information; // Events below it are not logged.
+
+    friend auto operator<=>(LogSettings const &, LogSettings const &) = default;
+};
+
+constexpr std::uint32_t defaultThreads = 4;
+constexpr std::uint32_t maximumThreads = 64;
+
+// Every instance may be listed as a peer: several times the design scale of 680.
+constexpr std::size_t maximumPeers = 4096;
+// Control instances, this one included. A majority of 7 survives the loss of 3; more would only slow writes.
+constexpr std::size_t maximumControlInstances = 7;
+constexpr std::size_t maximumOperators = 256;
+
+// Invariants, kept by parseSettings(): all names are valid; the endpoints of one instance differ from each
+// other, as do the names and endpoints of the peers, none of which is this instance.
+struct DaemonSettings
+{
+    std::string cluster = {};
+    std::string instance = {};
+    std::string failureDomain = {};
+    ListenSettings listen = {};
+    std::uint32_t threads = defaultThreads;
+    std::optional<std::string> dataFolder = {}; // Absolute; present on control instances only.
+    std::vector<PeerSettings> peers = {};
+    std::vector<OperatorSettings> operators = {};
+    LogSettings log = {};
+
+    friend auto operator<=>(DaemonSettings const &, DaemonSettings const &) = default;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibSettings/SettingsError.h
@@ -0,0 +1,31 @@
+// One error in a settings file.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+struct SettingsError
+{
+    std::string file;
+    std::uint32_t line = 0; // From 1; 0 if the file could not be read at all.
+    std::string key; // Such as peers[1].http; empty for the whole file.
+    std::string value; // As found, shortened; "(absent)" if there is none.
+    std::string allowed;
+
+    std::string toString() const; // file:line: key: found value, allowed: ...
+
+    friend auto operator<=>(SettingsError const &, SettingsError const &) = default;
+};
+
+// In the order of the file, each error once.
+std::vector<SettingsError> sortedByLine(std::vector<SettingsError> errors);
+
+// Never empty where it stands for a failure.
+using SettingsErrors = std::vector<SettingsError>;
+
+} // namespace almondwing
