--- /dev/null
+++ b/Libraries/LibManifest/InputError.cpp
@@ -0,0 +1,38 @@
+// Formats errors in operators' input.
+
+#include <LibManifest/InputError.h>
+
+#include <fmt/format.h>
+
+namespace almondwing {
+
+std::string InputError::toString() const
+{
+    return fmt::format("{}: found {}, allowed: {}", this->path.empty() ? "(document)" : this->path,
+                       this->value, this->allowed);
+}
+
+std::string quotedValue(std::string_view text, std::size_t maximumLength)
+{
+    std::string result = "\"";
+    // Escapes make text longer, so there is no point in escaping more than the limit.
+    for (char const character : text.substr(0, maximumLength + 1)) {
+        if (character == '"' || character == '\\')
+            result.append(1, '\\').append(1, character);
+        else if (character >= ' ' && character <= '~')
+            result.append(1, character);
+        else
+            result.append(fmt::format("\\x{:02x}", static_cast<unsigned char>(character)));
+    }
+    return abbreviated(result.append(1, '"'), maximumLength);
+}
+
+std::string abbreviated(std::string text, std::size_t maximumLength)
+{
+    if (text.size() <= maximumLength)
+        return text;
+    text.resize(maximumLength);
+    return text + "...";
+}
+
+} // namespace almondwing
