Membership: Add probes, leases and spreading of records

Cause: instances need a common view of each other and of all targets without an external store. Change: add LibMembership (SWIM probes with suspicion and incarnations, lease, pause detection, evidence of the control majority, piggybacked updates, comparison of digests) and its test program on a fake link. Events 1350 to 1357 and 1400 to 1408 are added.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -19,6 +19,23 @@
     ProcessStopped = 1002,
     SettingsRejected = 1003,
     InputDropped = 1100,
+    InstanceServing = 1350,
+    PauseDetected = 1351,
+    SuspicionRefuted = 1352,
+    MemberSuspected = 1353,
+    MemberDead = 1354,
+    MemberAlive = 1355,
+    LeaseExpired = 1356,
+    MajorityContactLost = 1357,
+    TargetAnnounced = 1400,
+    TargetTakenOver = 1401,
+    TargetUnhealthy = 1402,
+    TargetRecovered = 1403,
+    TargetCold = 1404,
+    TargetGone = 1405,
+    HealthViewDoubted = 1406,
+    TargetDraining = 1407,
+    AnnouncementRejected = 1408,
 };
 
 struct EventDescription
--- /dev/null
+++ b/Libraries/LibMembership/ControlContacts.cpp
@@ -0,0 +1,75 @@
+// Implements the evidence of control instances.
+
+#include <LibMembership/ControlContacts.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::uint8_t unknownAge = std::numeric_limits<std::uint8_t>::max();
+
+void keepLatest(ControlContact &contact, Timestamp at)
+{
+    if (!contact.lastEvidence || *contact.lastEvidence < at)
+        contact.lastEvidence = at;
+}
+
+std::uint8_t ageOf(ControlContact const &contact, Timestamp now)
+{
+    if (!contact.lastEvidence)
+        return unknownAge;
+    auto const age = std::max(Duration{}, now - *contact.lastEvidence);
+    auto const units = (age + contactAgeUnit - Duration{1}) / contactAgeUnit;
+    return static_cast<std::uint8_t>(std::min<std::int64_t>(units, unknownAge));
+}
+
+} // namespace
+
+ControlContacts noteEvidence(ControlContacts contacts, InstanceId instance, Timestamp at)
+{
+    for (ControlContact &contact : contacts) {
+        if (contact.instance == instance)
+            keepLatest(contact, at);
+    }
+    return contacts;
+}
+
+ControlContacts mergeAges(ControlContacts contacts, std::span<std::uint8_t const> ages, Timestamp sentAt)
+{
+    if (ages.size() != contacts.size())
+        return contacts;
+    for (std::size_t index = 0; index < ages.size(); ++index) {
+        if (ages[index] != unknownAge)
+            keepLatest(contacts[index], sentAt - ages[index] * contactAgeUnit);
+    }
+    return contacts;
+}
+
+std::vector<std::uint8_t> agesOf(ControlContacts const &contacts, Timestamp now)
+{
+    std::vector<std::uint8_t> ages;
+    ages.reserve(contacts.size());
+    for (ControlContact const &contact : contacts)
+        ages.push_back(ageOf(contact, now));
+    return ages;
+}
+
+ControlContacts forgetEvidence(ControlContacts contacts)
+{
+    for (ControlContact &contact : contacts)
+        contact.lastEvidence = std::nullopt;
+    return contacts;
+}
+
+bool hasMajorityWithin(ControlContacts const &contacts, Duration age, Timestamp now)
+{
+    auto const recent = std::ranges::count_if(contacts, [age, now](ControlContact const &contact) {
+        return contact.lastEvidence && now - *contact.lastEvidence <= age;
+    });
+    return contacts.empty() || static_cast<std::size_t>(recent) > contacts.size() / 2;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibMembership/MembershipSettings.h
@@ -0,0 +1,44 @@
+// Settings and time limits of the membership protocol.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+constexpr Duration ownDomainProbeInterval = 500ms;
+constexpr Duration otherDomainProbeInterval = 1s;
+// Dead members and seeds that never answered are probed this seldom, so that a healed partition is noticed.
+constexpr Duration absentProbeInterval = 5s;
+constexpr Duration absentProbeIntervalWhileJoining = 250ms;
+constexpr Duration ackTimeout = 300ms;
+constexpr std::size_t indirectProbeCount = 3;
+constexpr Duration suspicionPeriod = 2s;
+constexpr Duration deadMemberKept = 1h;
+
+// The lease ends before the others can consider this instance dead: they need at least two ack timeouts and
+// the suspicion period after the last probe that it answered.
+constexpr Duration leasePeriod = 2s;
+// A longer gap between two ticks means that the process was paused and its view is outdated.
+constexpr Duration pauseLimit = 1s;
+// An instance that finds nobody serves what it can after this time.
+constexpr Duration joiningBound = 2s;
+
+constexpr Duration majorityContactPeriod = 4s;
+// Below this age of the majority's evidence no control instance is probed out of turn.
+constexpr Duration controlProbeAge = 2s;
+
+struct MembershipSettings
+{
+    // Names of the instances that keep the replicated log; the same on all instances. Empty: no control
+    // instances, and contact with a majority is never lost.
+    std::vector<std::string> controlInstances;
+
+    friend bool operator==(MembershipSettings const &, MembershipSettings const &) = default;
+};
+
+} // namespace almondwing
--- a/Libraries/LibMessages/PeerMessages.h
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -183,6 +183,9 @@
     std::uint64_t incarnation = 0;
     std::uint64_t configurationVersion = 0;
     std::uint64_t recordsDigest = 0; // Over all member and target records that the sender knows.
+    // For each control instance of the settings, sorted by name: how long ago the sender had evidence of it,
+    // rounded up, in units of 25 ms; 255 stands for longer or never.
+    std::vector<std::uint8_t> controlContactAges;
     std::vector<MemberRecord> members;
     std::vector<TargetRecord> targets;
 
--- /dev/null
+++ b/Tests/LibMembership/FakeCluster.h
@@ -0,0 +1,96 @@
+// Several membership controllers on a fake link that loses, delays, duplicates and cuts, in simulated time.
+
+#pragma once
+
+#include <LibMembership/MembershipController.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace almondwing {
+
+struct LinkFaults
+{
+    double loss = 0;
+    double duplication = 0;
+    Duration shortestDelay = 500us;
+    Duration longestDelay = 2ms;
+
+    friend bool operator==(LinkFaults const &, LinkFaults const &) = default;
+};
+
+struct FakeNode
+{
+    MemberRecord self;
+    std::unique_ptr<Blackboard> blackboard;
+    std::unique_ptr<MembershipController> controller;
+    bool isRunning = false;
+    bool isPaused = false;
+    std::vector<Event> events;
+    // The highest versions seen on the blackboard of this process, to find versions that go back.
+    std::map<InstanceId, std::pair<std::uint64_t, MemberState>> memberVersions;
+    std::map<TargetId, TargetSequence> targetVersions;
+};
+
+class FakeCluster
+{
+public:
+    using Cut = std::function<bool(std::size_t from, std::size_t to)>;
+
+    FakeCluster(std::size_t nodeCount, std::size_t domainCount, std::uint64_t seed,
+                MembershipSettings clusterSettings = {});
+    FakeCluster(FakeCluster const &) = delete; // The hooks of the controllers refer to this object.
+    FakeCluster &operator=(FakeCluster const &) = delete;
+
+    void startAll();
+    // Starts a new process on the node, with empty state and a higher incarnation.
+    void start(std::size_t node);
+    void stop(std::size_t node);
+    void run(Duration duration);
+
+    // Puts a target record on the node's blackboard, as its target controller would.
+    void writeTarget(std::size_t node, TargetRecord const &target);
+
+    bool sees(std::size_t observer, std::size_t subject, MemberState state) const;
+    // Whether all running nodes see exactly each other as alive and hold equal records.
+    bool isConverged() const;
+    std::size_t countEvents(Event event) const;
+
+    std::vector<FakeNode> nodes;
+    LinkFaults faults;
+    Cut isCut = [](std::size_t, std::size_t) { return false; };
+    // Runs after each step of 50 ms.
+    std::function<void()> inspect = [] {};
+    Timestamp now = Timestamp(1000s);
+    std::size_t versionsGoneBack = 0;
+    std::size_t largestRecordBytes = 0;
+
+private:
+    struct Delivery
+    {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        PeerMessage message;
+    };
+
+    std::size_t indexOf(InstanceId instance) const { return this->indices.at(instance); }
+    void send(std::size_t from, InstanceId to, PeerMessage const &message);
+    void deliver(Delivery const &delivery);
+    void deliverUntil(Timestamp end);
+    void fetchRecords(std::size_t node);
+    void checkVersions(FakeNode &node);
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    MembershipSettings settings;
+    std::mt19937_64 random;
+    std::map<InstanceId, std::size_t> indices;
+    std::multimap<Timestamp, Delivery> inFlight;
+};
+
+} // namespace almondwing
