Wire: Carry searches, found flows and control contact ages

Cause: routing and membership added fields after the codec was written. Change: add FlowFound, the origin of a search and the ages of control contacts to the wire format; keep the ramp shares in LibState, where routing and targets both use them.

--- a/Libraries/LibTargets/Ramp.cpp
+++ b/Libraries/LibTargets/Ramp.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-std::uint32_t shareOf(std::uint32_t full, std::uint8_t level)
-{
-    auto const divisor = lowestShareDivisor >> std::min(level, highestRampLevel);
-    return std::min(full, std::max(1U, full / divisor));
-}
-
 bool wentBack(RampCounts const &counts, RampCounts const &earlier)
 {
     return counts.answered < earlier.answered || counts.accepted < earlier.accepted
@@ -73,11 +67,6 @@
 
 } // namespace
 
-TargetLimits limitsAtLevel(TargetLimits full, std::uint8_t level)
-{
-    return TargetLimits{.slots = shareOf(full.slots, level), .connections = shareOf(full.connections, level)};
-}
-
 RampCounts RampCounts::of(TargetUsage const &usage)
 {
     return RampCounts{
--- a/Libraries/LibTargets/Ramp.h
+++ b/Libraries/LibTargets/Ramp.h
@@ -9,6 +9,7 @@
 
 #include <LibCore/Time.h>
 #include <LibManifest/Manifest.h>
+#include <LibState/RampLevel.h>
 #include <LibState/TargetUsage.h>
 
 #include <cstdint>
@@ -16,10 +17,6 @@
 
 namespace almondwing {
 
-constexpr std::uint8_t highestRampLevel = 4;
-// Level 0 gives one part of this many, and each level twice as much as the one before.
-constexpr std::uint32_t lowestShareDivisor = 16;
-
 // A burst of short requests could otherwise lift a cold target through all levels before its caches are
 // filled.
 constexpr Duration minimumTimeAtLevel = 1s;
@@ -33,9 +30,6 @@
 constexpr std::uint64_t slowAnswerLimit = 3;
 constexpr std::uint64_t slowAnswerShare = 10;
 
-// The limits in force at a level; at least one slot and one connection of what the target has at all.
-TargetLimits limitsAtLevel(TargetLimits full, std::uint8_t level);
-
 struct RampCounts
 {
     std::uint64_t answered = 0;
--- a/Libraries/LibWire/PeerFields.cpp
+++ b/Libraries/LibWire/PeerFields.cpp
@@ -34,9 +34,17 @@
     out.set_origin(message.origin.value);
     for (TargetId const candidate : message.candidates)
         out.add_candidates(candidate.value);
+    out.set_is_origin_complete(message.isOriginComplete);
+    out.set_origin_target(message.originTarget.value);
     writeCallerMessage(message.message, *out.mutable_message());
 }
 
+void writeFlowFound(FlowFound const &message, wire::FlowFound &out)
+{
+    writeFlowKey(message.key, *out.mutable_key());
+    out.set_target(message.target.value);
+}
+
 void writeRecordRequest(RecordRequest const &message, wire::RecordRequest &out)
 {
     writeRequestKey(message.key, *out.mutable_key());
@@ -147,6 +155,8 @@
     out.set_incarnation(gossip.incarnation);
     out.set_configuration_version(gossip.configurationVersion);
     out.set_records_digest(gossip.recordsDigest);
+    out.set_control_contact_ages(
+        std::string(gossip.controlContactAges.begin(), gossip.controlContactAges.end()));
     for (MemberRecord const &record : gossip.members)
         writeMember(record, *out.add_members());
     for (TargetRecord const &record : gossip.targets)
@@ -182,6 +192,8 @@
         .hops = reader.narrow<std::uint8_t>(REQUIRED_FIELD(in, hops)),
         .origin = InstanceId{reader.required(REQUIRED_FIELD(in, origin))},
         .candidates = {},
+        .isOriginComplete = reader.required(REQUIRED_FIELD(in, is_origin_complete)),
+        .originTarget = TargetId{reader.required(REQUIRED_FIELD(in, origin_target))},
         .message = readCallerMessage(in.message(), reader)};
     message.candidates.reserve(static_cast<std::size_t>(in.candidates_size()));
     for (std::uint64_t const candidate : in.candidates())
@@ -189,6 +201,12 @@
     return message;
 }
 
+FlowFound readFlowFound(wire::FlowFound const &in, FieldReader &reader)
+{
+    return {.key = readFlowKey(in.has_key(), in.key(), reader),
+            .target = TargetId{reader.required(REQUIRED_FIELD(in, target))}};
+}
+
 RecordRequest readRecordRequest(wire::RecordRequest const &in, FieldReader &reader)
 {
     return {.key = readKey(in, reader),
@@ -306,8 +324,11 @@
                   .incarnation = reader.required(REQUIRED_FIELD(in, incarnation)),
                   .configurationVersion = reader.required(REQUIRED_FIELD(in, configuration_version)),
                   .recordsDigest = reader.required(REQUIRED_FIELD(in, records_digest)),
+                  .controlContactAges = {},
                   .members = {},
                   .targets = {}};
+    for (char const age : reader.required(REQUIRED_FIELD(in, control_contact_ages)))
+        gossip.controlContactAges.push_back(static_cast<std::uint8_t>(age));
     for (wire::MemberRecord const &record : in.members())
         gossip.members.push_back(readMember(record, reader));
     for (wire::TargetRecord const &record : in.targets())
@@ -339,6 +360,7 @@
     std::visit(
         Overloaded{
             [&](Forwarded const &inner) { writeForwarded(inner, *out.mutable_forwarded()); },
+            [&](FlowFound const &inner) { writeFlowFound(inner, *out.mutable_flow_found()); },
             [&](RecordRequest const &inner) { writeRecordRequest(inner, *out.mutable_record_request()); },
             [&](RecordReply const &inner) { writeRecordReply(inner, *out.mutable_record_reply()); },
             [&](RecordRelease const &inner) { writeRecordRelease(inner, *out.mutable_record_release()); },
@@ -381,6 +403,8 @@
         return readProbeOfSubject<Ack>(in.ack(), reader);
     case wire::PeerMessage::kIndirectPing:
         return readProbeOfSubject<IndirectPing>(in.indirect_ping(), reader);
+    case wire::PeerMessage::kFlowFound:
+        return readFlowFound(in.flow_found(), reader);
     case wire::PeerMessage::MESSAGE_NOT_SET:
         break;
     }
--- a/Tests/LibWire/MessageGenerators.cpp
+++ b/Tests/LibWire/MessageGenerators.cpp
@@ -163,6 +163,7 @@
             .incarnation = pickId(),
             .configurationVersion = pickId(),
             .recordsDigest = pickId(),
+            .controlContactAges = *rc::gen::arbitrary<std::vector<std::uint8_t>>(),
             .members = pickList(pickMember),
             .targets = pickList(pickTarget)};
 }
@@ -197,6 +198,8 @@
             .hops = pickInteger<std::uint8_t>(),
             .origin = InstanceId{pickId()},
             .candidates = pickList(pickTargetId),
+            .isOriginComplete = *rc::gen::arbitrary<bool>(),
+            .originTarget = pickTargetId(),
             .message = pickCallerMessage()};
 }
 
@@ -301,7 +304,7 @@
 
 PeerMessage pickPeerMessage()
 {
-    switch (*rc::gen::inRange(0, 11)) {
+    switch (*rc::gen::inRange(0, 12)) {
     case 0:
         return pickForwarded();
     case 1:
@@ -323,6 +326,8 @@
     case 7:
         return ExceptionUpdate{
             .target = pickTargetId(), .added = pickList(pickException), .removed = pickList(pickFlowKey)};
+    case 8:
+        return FlowFound{.key = pickFlowKey(), .target = pickTargetId()};
     default:
         return pickProbe();
     }
--- a/Tests/LibWire/WireCodecTest.cpp
+++ b/Tests/LibWire/WireCodecTest.cpp
@@ -100,6 +100,8 @@
             .hops = 255,
             .origin = InstanceId{~0ULL},
             .candidates = std::vector(8, TargetId{~0ULL}),
+            .isOriginComplete = true,
+            .originTarget = TargetId{~0ULL},
             .message = request};
 }
 
