FrontEnd: Add event loop, UDP sockets, HTTP and metrics

Cause: the daemon and the command-line tool need sockets, HTTP with JSON, numbered log lines and metrics. Change: add LibFrontEnd on Boost.Asio, Beast, glog and prometheus-cpp, with the library headers kept out of ours. Conclusion: the process side can be assembled.

--- /dev/null
+++ b/Libraries/LibFrontEnd/HttpClient.h
@@ -0,0 +1,34 @@
+// Sends HTTP requests to other processes.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibFrontEnd/HttpTypes.h>
+#include <LibFrontEnd/IoRuntime.h>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+
+namespace almondwing {
+
+struct HttpCall
+{
+    Endpoint server;
+    HttpMethod method = HttpMethod::Get;
+    std::string target; // Path and query.
+    std::string body;
+    std::string bearerToken;
+    Duration timeout = 5s; // For the whole call.
+
+    friend bool operator==(HttpCall const &, HttpCall const &) = default;
+};
+
+using HttpResult = std::function<void(absl::StatusOr<HttpResponse>)>;
+
+// Calls the server over a connection of its own. The result comes on some thread of the runtime:
+// DeadlineExceeded after the timeout, Unavailable when the server can't be reached or closes the connection.
+void callHttp(IoRuntime &runtime, HttpCall const &call, HttpResult result);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibFrontEnd/IoRuntime.cpp
@@ -0,0 +1,79 @@
+// Implements the event loop with Boost.Asio.
+
+#include <LibFrontEnd/IoContext.h>
+#include <LibFrontEnd/IoRuntime.h>
+
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+void runRepeatedly(std::shared_ptr<boost::asio::steady_timer> const &timer, Duration interval,
+                   std::function<void()> work)
+{
+    timer->expires_after(interval);
+    timer->async_wait([timer, interval, work = std::move(work)](boost::system::error_code error) {
+        if (error)
+            return;
+        work();
+        runRepeatedly(timer, interval, work);
+    });
+}
+
+} // namespace
+
+IoRuntime::IoRuntime() : io(std::make_unique<IoContext>()) { }
+
+IoRuntime::~IoRuntime() = default;
+
+Timestamp IoRuntime::now()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+void IoRuntime::post(std::function<void()> work)
+{
+    boost::asio::post(this->io->asio, std::move(work));
+}
+
+void IoRuntime::runAfter(Duration delay, std::function<void()> work)
+{
+    auto const timer = std::make_shared<boost::asio::steady_timer>(this->io->asio, delay);
+    timer->async_wait([timer, work = std::move(work)](boost::system::error_code error) {
+        if (!error)
+            work();
+    });
+}
+
+void IoRuntime::runEvery(Duration interval, std::function<void()> work)
+{
+    runRepeatedly(std::make_shared<boost::asio::steady_timer>(this->io->asio), interval, std::move(work));
+}
+
+void IoRuntime::onStopSignal(std::function<void()> stop)
+{
+    auto const signals = std::make_shared<boost::asio::signal_set>(this->io->asio, SIGTERM, SIGINT);
+    signals->async_wait([signals, stop = std::move(stop)](boost::system::error_code error, int) {
+        if (!error)
+            stop();
+    });
+}
+
+void IoRuntime::run(std::uint32_t threadCount)
+{
+    auto const keepRunning = boost::asio::make_work_guard(this->io->asio);
+    std::vector<std::jthread> threads;
+    for (std::uint32_t index = 1; index < threadCount; ++index)
+        threads.emplace_back([this] { this->io->asio.run(); });
+    this->io->asio.run();
+}
+
+void IoRuntime::stop()
+{
+    this->io->asio.stop();
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibFrontEnd/IoRuntime.h
@@ -0,0 +1,49 @@
+// The threads of a process and the event loop that they share. Threads wait in the loop and never spin.
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace almondwing {
+
+// Hides Boost.Asio from the headers of its users.
+struct IoContext;
+
+class IoRuntime
+{
+public:
+    IoRuntime();
+    ~IoRuntime();
+    IoRuntime(IoRuntime const &) = delete;
+    IoRuntime &operator=(IoRuntime const &) = delete;
+
+    IoContext &context() { return *this->io; }
+
+    static Timestamp now();
+
+    // Runs the work on some thread as soon as possible.
+    void post(std::function<void()> work);
+
+    // Runs the work once after the delay.
+    void runAfter(Duration delay, std::function<void()> work);
+
+    // Runs the work again and again, one run at a time; a run that is late does not make the next ones bunch
+    // up.
+    void runEvery(Duration interval, std::function<void()> work);
+
+    // Calls the hook once for the first SIGTERM or SIGINT.
+    void onStopSignal(std::function<void()> stop);
+
+    // Runs the loop on the given number of threads until stop() is called.
+    void run(std::uint32_t threadCount);
+    void stop();
+
+private:
+    std::unique_ptr<IoContext> io;
+};
+
+} // namespace almondwing
