--- a/Libraries/LibReplication/ReplicationCore.h
+++ b/Libraries/LibReplication/ReplicationCore.h
@@ -142,6 +142,7 @@
     void sendSnapshotPart(FollowerProgress &progress, Timestamp now);
     void recordReply(FollowerProgress &progress, std::uint64_t round, Timestamp now);
     void recordMatch(FollowerProgress &progress, LogIndex matchIndex);
+    void backOff(FollowerProgress &progress, LogConflict conflict);
     FollowerProgress *progressOf(ReplicaId id);
     bool hasQuorum(Timestamp now) const;
     void commitByMajority();
--- a/Libraries/LibReplication/ReplicationCoreLeader.cpp
+++ b/Libraries/LibReplication/ReplicationCoreLeader.cpp
@@ -203,6 +203,19 @@
     progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
 }
 
+void ReplicationCore::backOff(FollowerProgress &progress, LogConflict conflict)
+{
+    LogIndex const refused = progress.nextIndex;
+    progress.probeFrom(std::min(this->log.resumeAfter(conflict), refused - 1));
+    if (progress.nextIndex <= this->log.snapshot().index) {
+        progress.mode = ProgressMode::Snapshot;
+        return;
+    }
+    // Refusals that were late lead to no further probes.
+    if (progress.nextIndex != refused)
+        this->sendHeartbeat(progress);
+}
+
 void ReplicationCore::handle(ReplicaEnvelope const &envelope, AppendReply const &reply, Timestamp now)
 {
     if (envelope.history.isNone() || this->isEmpty())
@@ -221,14 +234,8 @@
             progress->nextIndex = progress->matchIndex + 1;
         progress->mode = ProgressMode::Stream;
         this->commitByMajority();
-    } else if (progress->mode != ProgressMode::Snapshot && reply.conflictIndex > progress->matchIndex) {
-        LogIndex const resume =
-            this->log.resumeAfter({.index = reply.conflictIndex, .term = reply.conflictTerm});
-        progress->probeFrom(std::min(resume, progress->nextIndex - 1));
-        if (progress->nextIndex <= this->log.snapshot().index)
-            progress->mode = ProgressMode::Snapshot;
-        else
-            this->sendHeartbeat(*progress);
+    } else if (progress->mode != ProgressMode::Snapshot) {
+        this->backOff(*progress, LogConflict{.index = reply.conflictIndex, .term = reply.conflictTerm});
     }
     if (this->role != ReplicaRole::Leader)
         return;
--- a/Tests/LibReplication/ReplicationCluster.cpp
+++ b/Tests/LibReplication/ReplicationCluster.cpp
@@ -151,6 +151,9 @@
 {
     this->stop(index);
     this->nodes[index].disk.loseUnsynced(this->random());
+    // Shows in the status what really reached the disk.
+    this->start(index);
+    this->stop(index);
 }
 
 void ReplicationCluster::wipe(std::size_t index)
