--- a/Tests/LibReplication/ReplicationCluster.cpp
+++ b/Tests/LibReplication/ReplicationCluster.cpp
@@ -93,7 +93,7 @@
                 this->require(node.commands.size() >= read.mapped(),
                               "a confirmed read misses an acknowledged change");
             },
-        .mayBootstrap = [] { return true; },
+        .mayBootstrap = [this] { return this->bootstrapPermission; },
         .random = [this] { return this->random(); },
         .report = [&node](Event event, std::string const &) { node.events.push_back(event); }};
 }
@@ -185,6 +185,10 @@
         || this->nodes[from].island != this->nodes[target].island
         || this->random() % 100 < this->faults.lossPercent)
         return;
+    if (this->isHeldBack && this->isHeldBack(envelope.message)) {
+        this->heldBack.push_back(envelope);
+        return;
+    }
     int const copies = this->random() % 100 < this->faults.duplicatePercent ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         Duration const delay(static_cast<Duration::rep>(
@@ -193,6 +197,13 @@
     }
 }
 
+void ReplicationCluster::releaseHeldBack()
+{
+    this->isHeldBack = nullptr;
+    for (ReplicaEnvelope const &envelope : std::exchange(this->heldBack, {}))
+        this->post(this->indexOf(envelope.from.instance), envelope);
+}
+
 void ReplicationCluster::deliverDue()
 {
     while (!this->transit.empty() && this->transit.begin()->first <= this->now) {
--- a/Tests/LibReplication/ReplicationCluster.h
+++ b/Tests/LibReplication/ReplicationCluster.h
@@ -8,6 +8,7 @@
 #include <LibReplication/FileStorage.h>
 #include <LibReplication/ReplicationCore.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -66,8 +67,19 @@
     bool mayLoseDisk(std::size_t index) const;
     bool hasReported(Event event) const;
 
+    // Keeps messages of one kind in the link until they are released.
+    template<typename Message>
+    void holdBack()
+    {
+        this->isHeldBack = [](ReplicaMessage const &message) {
+            return std::holds_alternative<Message>(message);
+        };
+    }
+    void releaseHeldBack();
+
     std::vector<Node> nodes;
     LinkFaults faults;
+    bool bootstrapPermission = true;
     Timestamp now{1h};
     std::vector<std::string> committed; // The one order of commands.
     std::set<std::string> acknowledged;
@@ -95,6 +107,8 @@
     ReplicationSettings settings;
     std::mt19937_64 random;
     std::multimap<Timestamp, Transit> transit;
+    std::function<bool(ReplicaMessage const &)> isHeldBack;
+    std::vector<ReplicaEnvelope> heldBack;
     std::map<std::pair<HistoryId, Term>, ReplicaId> leaders;
     std::map<LogIndex, LogEntry> entries; // Every applied entry.
     std::size_t proposalCount = 0;
--- a/Tests/LibReplication/ReplicationCoreTest.cpp
+++ b/Tests/LibReplication/ReplicationCoreTest.cpp
@@ -4,12 +4,58 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace almondwing {
 
+namespace {
+
+using Status = ReplicationStatus;
+
+std::size_t otherThan(std::size_t first, std::size_t second = 99)
+{
+    std::size_t index = 0;
+    while (index == first || index == second)
+        ++index;
+    return index;
+}
+
+// The first command is committed, so everything that follows starts from a working cluster.
+class StartedCluster : public ReplicationCluster
+{
+public:
+    explicit StartedCluster(std::size_t size, ReplicationSettings newSettings = testSettings())
+        : ReplicationCluster(size, 20261204, std::move(newSettings))
+    {
+        CPPUNIT_ASSERT(this->commitOne());
+        this->run(3s);
+    }
+};
+
+} // namespace
+
 class ReplicationCoreTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ReplicationCoreTest);
     CPPUNIT_TEST(emptyInstancesBootstrapOnce);
+    CPPUNIT_TEST(bootstrapWaitsForEveryInstance);
+    CPPUNIT_TEST(lateBootstrapOfAnEarlierCoordinatorIsRefused);
+    CPPUNIT_TEST(evidenceOfAnEarlierHistoryPreventsBootstrap);
+    CPPUNIT_TEST(wipedDiskJoinsUnderANewId);
+    CPPUNIT_TEST(secondDiskIsLostRightAfterTheRepair);
+    CPPUNIT_TEST(majorityOfWipedDisksIsRefused);
+    CPPUNIT_TEST(replacedReplicaThatComesBackDoesNoHarm);
+    CPPUNIT_TEST(secondReplicaOfALiveInstanceIsNotAdmitted);
+    CPPUNIT_TEST(isolatedReplicaDoesNotDisturbTheLeader);
+    CPPUNIT_TEST(leaderWithoutMajorityStepsDown);
+    CPPUNIT_TEST(staleLeaderConfirmsNoRead);
+    CPPUNIT_TEST(failedSyncGivesNoAcknowledgement);
+    CPPUNIT_TEST(restartAfterManyChangesRestoresTheLastState);
+    CPPUNIT_TEST(startWithSnapshotDoesNotReplayTheTruncatedLog);
+    CPPUNIT_TEST(followerWithEntriesOfAnOldLeaderCatchesUp);
+    CPPUNIT_TEST(followerBehindTheSnapshotCatchesUp);
+    CPPUNIT_TEST(proposalsAreBounded);
+    CPPUNIT_TEST(idleTrafficDoesNotGrowWithTheLog);
     CPPUNIT_TEST_SUITE_END();
 
     static void requireSound(ReplicationCluster const &cluster)
@@ -18,15 +64,364 @@
                              cluster.violations.empty() ? std::string() : cluster.violations.front());
     }
 
-    // Guards against a first start that never elects a leader.
-    void emptyInstancesBootstrapOnce()
+    static void requireRepaired(ReplicationCluster &cluster)
     {
-        ReplicationCluster cluster(3, 1);
         CPPUNIT_ASSERT(cluster.commitOne());
-        cluster.run(5s);
+        for (int second = 0; second < 60 && !cluster.hasConverged(); ++second)
+            cluster.run(1s);
         CPPUNIT_ASSERT(cluster.hasConverged());
         requireSound(cluster);
     }
+
+    // Guards against a first start that never elects a leader, or that starts two histories.
+    void emptyInstancesBootstrapOnce()
+    {
+        ReplicationCluster cluster(3, 1);
+        requireRepaired(cluster);
+        std::size_t bootstraps = 0;
+        for (auto const &node : cluster.nodes)
+            bootstraps +=
+                static_cast<std::size_t>(std::ranges::count(node.events, Event::BootstrapCompleted));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bootstraps);
+    }
+
+    // Guards against a bootstrap without an instance that may hold a history.
+    void bootstrapWaitsForEveryInstance()
+    {
+        ReplicationCluster cluster(5, 1);
+        cluster.stop(4);
+        cluster.run(60s);
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.standing == ReplicaStanding::Empty);
+        cluster.heal();
+        requireRepaired(cluster);
+    }
+
+    // Guards against two histories: a coordinator is wiped after its bootstrap, the next one asks again, and
+    // the commands of the first arrive only then.
+    void lateBootstrapOfAnEarlierCoordinatorIsRefused()
+    {
+        ReplicationCluster cluster(3, 1);
+        cluster.holdBack<BootstrapCommand>();
+        while (!cluster.hasReported(Event::BootstrapCompleted))
+            cluster.run(20ms);
+        HistoryId const first = cluster.nodes[0].status.history;
+        cluster.wipe(0);
+        cluster.start(0);
+        while (cluster.nodes[0].status.history.isNone())
+            cluster.run(20ms);
+        cluster.releaseHeldBack();
+        requireRepaired(cluster);
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.history != first);
+    }
+
+    // Guards against a new history when all control disks are empty but other instances know a configuration.
+    void evidenceOfAnEarlierHistoryPreventsBootstrap()
+    {
+        ReplicationCluster cluster(3, 1);
+        cluster.bootstrapPermission = false;
+        cluster.run(30s);
+        CPPUNIT_ASSERT(cluster.hasReported(Event::BootstrapRefused));
+        CPPUNIT_ASSERT(!cluster.leader().has_value());
+    }
+
+    // Guards against a wiped disk that votes, that starts a second history, or that stays out for good.
+    void wipedDiskJoinsUnderANewId()
+    {
+        for (std::size_t wiped = 0; wiped < 3; ++wiped) {
+            StartedCluster cluster(3);
+            HistoryId const history = cluster.nodes[0].status.history;
+            Replica const old = cluster.nodes[wiped].status.self;
+            cluster.wipe(wiped);
+            cluster.start(wiped);
+            CPPUNIT_ASSERT(cluster.nodes[wiped].status.standing == ReplicaStanding::Empty);
+            requireRepaired(cluster);
+            CPPUNIT_ASSERT(cluster.nodes[wiped].status.self.id != old.id);
+            for (auto const &node : cluster.nodes)
+                CPPUNIT_ASSERT(node.status.history == history);
+        }
+    }
+
+    // Guards against a repair that is reported before the new replica counts.
+    void secondDiskIsLostRightAfterTheRepair()
+    {
+        StartedCluster cluster(3);
+        cluster.wipe(0);
+        cluster.start(0);
+        while (!cluster.mayLoseDisk(1) || cluster.nodes[0].status.standing != ReplicaStanding::Voter)
+            cluster.run(20ms);
+        cluster.wipe(1);
+        cluster.start(1);
+        requireRepaired(cluster);
+    }
+
+    // Guards against a minority that goes on alone, or a second history, when most disks were wiped.
+    void majorityOfWipedDisksIsRefused()
+    {
+        StartedCluster cluster(3);
+        HistoryId const history = cluster.nodes[2].status.history;
+        for (std::size_t const index : {0U, 1U}) {
+            cluster.wipe(index);
+            cluster.start(index);
+        }
+        cluster.run(60s);
+        CPPUNIT_ASSERT(cluster.hasReported(Event::MajorityOfDisksLost));
+        CPPUNIT_ASSERT(cluster.hasReported(Event::BootstrapRefused));
+        CPPUNIT_ASSERT(!cluster.leader().has_value());
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.history.isNone() || node.status.history == history);
+        auto const refused = cluster.nodes[2].core->propose("change", cluster.now);
+        CPPUNIT_ASSERT(refused.status().message().find("majority") != std::string::npos);
+        requireSound(cluster);
+    }
+
+    // Guards against a disk that was only away: while its replica is being replaced it comes back, and with a
+    // member that has not seen the change it must not commit anything beside the new majority.
+    void replacedReplicaThatComesBackDoesNoHarm()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        std::size_t const away = otherThan(leader);
+        std::size_t const behind = otherThan(leader, away);
+        ReplicaId const oldId = cluster.nodes[away].status.self.id;
+        FakeDisk const oldDisk = cluster.nodes[away].disk;
+        cluster.wipe(away);
+        cluster.start(away);
+        auto const isReplacing = [&] {
+            auto const &voters = cluster.nodes[leader].status.voters;
+            return std::ranges::find(voters, oldId, &Replica::id) == voters.end();
+        };
+        while (!isReplacing())
+            cluster.run(20ms);
+        cluster.nodes[behind].island = 1;
+        cluster.propose(leader);
+        cluster.run(10s);
+        cluster.stop(away);
+        cluster.nodes[away].disk = oldDisk;
+        cluster.nodes[away].island = 1;
+        cluster.start(away);
+        for (int second = 0; second < 30; ++second) {
+            cluster.run(1s);
+            cluster.propose(away);
+            cluster.propose(behind);
+        }
+        cluster.heal();
+        requireRepaired(cluster);
+    }
+
+    // Guards against two machines with one instance name that replace each other again and again.
+    void secondReplicaOfALiveInstanceIsNotAdmitted()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        Replica const twin{.id = ReplicaId{77}, .instance = cluster.nodes[otherThan(leader)].instance};
+        auto const voters = cluster.nodes[leader].status.voters;
+        for (int second = 0; second < 10; ++second) {
+            auto &core = *cluster.nodes[leader].core;
+            Status const status = core.status();
+            core.handleMessage({twin, status.self, status.history, JoinRequest{}}, cluster.now);
+            core.handleMessage({twin, status.self, status.history,
+                                AppendReply{.term = status.term,
+                                            .verdict = AppendVerdict::Accepted,
+                                            .matchIndex = status.lastIndex}},
+                               cluster.now);
+            cluster.run(1s);
+        }
+        CPPUNIT_ASSERT(cluster.hasReported(Event::DuplicateInstance));
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.voters == voters);
+        requireSound(cluster);
+    }
+
+    // Guards against elections that a returning replica forces with a higher term.
+    void isolatedReplicaDoesNotDisturbTheLeader()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        std::size_t const isolated = otherThan(leader);
+        Status const before = cluster.nodes[leader].status;
+        cluster.nodes[isolated].island = 1;
+        cluster.run(600s);
+        CPPUNIT_ASSERT_EQUAL(before.term, cluster.nodes[isolated].status.term);
+        cluster.propose(leader);
+        cluster.heal();
+        requireRepaired(cluster);
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.role == ReplicaRole::Leader);
+        CPPUNIT_ASSERT_EQUAL(before.term, cluster.nodes[leader].status.term);
+    }
+
+    // Guards against a leader that goes on accepting changes that can't be committed.
+    void leaderWithoutMajorityStepsDown()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        cluster.nodes[leader].island = 1;
+        CPPUNIT_ASSERT(cluster.propose(leader).has_value());
+        cluster.run(ReplicationCluster::testSettings().shortestElectionTimeout + 100ms);
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.role != ReplicaRole::Leader);
+        CPPUNIT_ASSERT(!cluster.propose(leader).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.acknowledged.size());
+        cluster.heal();
+        requireRepaired(cluster);
+    }
+
+    // Guards against an operator who reads an old configuration from a leader that was replaced unnoticed.
+    void staleLeaderConfirmsNoRead()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        cluster.beginRead(leader);
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.readsConfirmed);
+        cluster.nodes[leader].island = 1;
+        cluster.beginRead(leader);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.nodes[leader].reads.size());
+        cluster.run(10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.readsConfirmed);
+        CPPUNIT_ASSERT(cluster.nodes[leader].reads.empty());
+    }
+
+    // Guards against an acknowledgement of what a full disk did not take, by a follower or by the leader.
+    void failedSyncGivesNoAcknowledgement()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        std::size_t const follower = otherThan(leader);
+        cluster.stop(otherThan(leader, follower));
+        cluster.nodes[follower].disk.setFull(true);
+        CPPUNIT_ASSERT(cluster.propose(leader).has_value());
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.acknowledged.size());
+        CPPUNIT_ASSERT(cluster.nodes[follower].status.role == ReplicaRole::Failed);
+        CPPUNIT_ASSERT(!cluster.nodes[follower].status.failure.ok());
+        cluster.heal();
+        requireRepaired(cluster);
+
+        std::size_t const next = cluster.waitForLeader();
+        cluster.nodes[next].disk.setFull(true);
+        CPPUNIT_ASSERT(!cluster.propose(next).has_value());
+        // Space that is freed later does not bring the replica back by itself.
+        cluster.nodes[next].disk.setFull(false);
+        CPPUNIT_ASSERT(!cluster.propose(next).has_value());
+        CPPUNIT_ASSERT(cluster.hasReported(Event::ReplicaStorageFailed));
+        requireSound(cluster);
+    }
+
+    // Guards against a process that acts on older state after a restart.
+    void restartAfterManyChangesRestoresTheLastState()
+    {
+        StartedCluster cluster(3);
+        for (int change = 0; change < 500; ++change) {
+            cluster.propose(cluster.waitForLeader());
+            cluster.run(200ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{501}, cluster.committed.size());
+        cluster.run(2s);
+        for (std::size_t index = 0; index < 3; ++index)
+            cluster.stop(index);
+        for (std::size_t index = 0; index < 3; ++index) {
+            cluster.start(index);
+            CPPUNIT_ASSERT(cluster.nodes[index].commands == cluster.committed);
+        }
+        requireRepaired(cluster);
+    }
+
+    // Guards against effects that happen a second time, or out of entries that were cut off.
+    void startWithSnapshotDoesNotReplayTheTruncatedLog()
+    {
+        auto settings = ReplicationCluster::testSettings();
+        settings.entriesPerSnapshot = 100;
+        StartedCluster cluster(3, settings);
+        for (int change = 0; change < 250; ++change) {
+            cluster.propose(cluster.waitForLeader());
+            cluster.run(200ms);
+        }
+        cluster.run(2s);
+        cluster.crash(1);
+        cluster.start(1);
+        auto const &node = cluster.nodes[1];
+        CPPUNIT_ASSERT(node.status.snapshotIndex >= 200);
+        CPPUNIT_ASSERT(node.appliedIndexes.empty()
+                       || node.appliedIndexes.front() > node.status.snapshotIndex);
+        requireRepaired(cluster);
+    }
+
+    // Guards against a leader that ignores a refusal because the conflict begins in what was acknowledged.
+    // The replica keeps entries of its own old term, acknowledges a part of the new leader's log, and
+    // restarts.
+    void followerWithEntriesOfAnOldLeaderCatchesUp()
+    {
+        StartedCluster cluster(3);
+        std::size_t const old = cluster.waitForLeader();
+        cluster.nodes[old].island = 1;
+        cluster.propose(old);
+        cluster.propose(old);
+        cluster.run(10s);
+        std::size_t const leader = cluster.waitForLeader();
+        Status const status = cluster.nodes[leader].status;
+        cluster.heal();
+        // The probe is answered, but the process dies with the first write of the new entries.
+        cluster.nodes[old].disk.crashAfter(3);
+        cluster.run(3s);
+        cluster.heal();
+        requireRepaired(cluster);
+        CPPUNIT_ASSERT_EQUAL(status.term, cluster.nodes[leader].status.term);
+    }
+
+    // Guards against a leader that keeps probing a follower whose next entry was cut off with a snapshot.
+    void followerBehindTheSnapshotCatchesUp()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        std::size_t const behind = otherThan(leader);
+        cluster.stop(behind);
+        for (int change = 0; change < 30; ++change) {
+            cluster.propose(leader);
+            cluster.run(200ms);
+        }
+        cluster.heal();
+        requireRepaired(cluster);
+        CPPUNIT_ASSERT(cluster.hasReported(Event::SnapshotInstalled));
+    }
+
+    // Guards against memory that grows while no majority answers, and against payloads no message could
+    // carry.
+    void proposalsAreBounded()
+    {
+        auto settings = ReplicationCluster::testSettings();
+        settings.largestUncommittedEntries = 10;
+        StartedCluster cluster(3, settings);
+        std::size_t const leader = cluster.waitForLeader();
+        for (std::size_t index = 0; index < 3; ++index)
+            cluster.nodes[index].island = static_cast<int>(index);
+        for (int change = 0; change < 10; ++change)
+            CPPUNIT_ASSERT(cluster.propose(leader).has_value());
+        CPPUNIT_ASSERT(!cluster.propose(leader).has_value());
+        auto const large =
+            cluster.nodes[leader].core->propose(std::string(settings.largestPayload + 1, '.'), cluster.now);
+        CPPUNIT_ASSERT(absl::IsInvalidArgument(large.status()));
+    }
+
+    // Guards against control traffic that grows with the number of changes instead of with their rate.
+    void idleTrafficDoesNotGrowWithTheLog()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        auto const idleMessages = [&] {
+            auto const before = cluster.nodes[leader].core->counters();
+            cluster.run(60s);
+            auto const after = cluster.nodes[leader].core->counters();
+            CPPUNIT_ASSERT_EQUAL(before.payloadBytesSent, after.payloadBytesSent);
+            return after.messagesSent - before.messagesSent;
+        };
+        auto const first = idleMessages();
+        for (int change = 0; change < 100; ++change) {
+            cluster.propose(leader);
+            cluster.run(200ms);
+        }
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(first, idleMessages());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicationCoreTest);
