Configuration: Decide changes in the order of the replicated log

Cause: operators submit competing changes and resend them; every replica has to decide them alike, and instances without a disk must not go back to an older version. Refuse manifests of another deployment and manifests that drop a failure domain in service, because its flows would break. Add the events 1250 and 1251. Conclusion: the replicated log can carry configuration changes.

--- /dev/null
+++ b/Libraries/LibConfiguration/ApplyChange.h
@@ -0,0 +1,25 @@
+// Decides change requests, in the order of the replicated log. Pure: every replica that applies the same log
+// gets the same state and the same outcomes.
+
+#pragma once
+
+#include <LibConfiguration/ChangeRequest.h>
+#include <LibConfiguration/ConfigurationState.h>
+
+#include <cstdint>
+
+namespace almondwing {
+
+struct AppliedChange
+{
+    ConfigurationState state;
+    ChangeOutcome outcome;
+
+    friend bool operator==(AppliedChange const &, AppliedChange const &) = default;
+};
+
+// Applies the log entry at `index`. An entry at or below the last applied index has been applied before, and
+// changes nothing.
+AppliedChange applyChange(ConfigurationState state, std::uint64_t index, ChangeRequest const &request);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationKeeper.cpp
@@ -0,0 +1,39 @@
+// Decides which of two configurations is in force.
+
+#include <LibConfiguration/ConfigurationKeeper.h>
+
+#include <LibManifest/ManifestCheck.h>
+
+#include <fmt/format.h>
+
+namespace almondwing {
+
+ConfigurationKeeper::ConfigurationKeeper(Blackboard &sharedBlackboard, EventReporter eventReporter)
+    : blackboard(sharedBlackboard), report(std::move(eventReporter))
+{
+}
+
+KeepOutcome ConfigurationKeeper::take(Configuration const &offered)
+{
+    for (;;) {
+        auto const current = this->blackboard.configuration.read();
+        if (offered.version < current->version || offered == *current)
+            return KeepOutcome::NotNewer;
+        if (offered.version == current->version)
+            return this->refuse(offered.version, "differs from the version in force");
+        if (InputErrors const errors = checkManifest(offered.manifest); !errors.empty())
+            return this->refuse(offered.version, errors.front().toString());
+        if (this->blackboard.configuration.replace(current, offered))
+            break;
+    }
+    this->report(Event::ConfigurationInForce, fmt::format("version {}", offered.version));
+    return KeepOutcome::Kept;
+}
+
+KeepOutcome ConfigurationKeeper::refuse(std::uint64_t version, std::string const &reason) const
+{
+    this->report(Event::ConfigurationRefused, fmt::format("version {}: {}", version, reason));
+    return KeepOutcome::Refused;
+}
+
+} // namespace almondwing
--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -24,6 +24,11 @@
     EventDescription{Event::InputDropped, Severity::Warning, "InputDropped",
                      "A socket received input that is malformed, foreign or not allowed there.",
                      "Look at the reason and the sender if the count keeps growing."},
+    EventDescription{Event::ConfigurationInForce, Severity::Information, "ConfigurationInForce",
+                     "A newer version of the configuration is in force on this instance.", "None."},
+    EventDescription{Event::ConfigurationRefused, Severity::Error, "ConfigurationRefused",
+                     "A peer offered a configuration that breaks a rule or contradicts the version in force.",
+                     "Check that all control instances belong to the same cluster and share one log."},
 };
 
 } // namespace
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -19,6 +19,8 @@
     ProcessStopped = 1002,
     SettingsRejected = 1003,
     InputDropped = 1100,
+    ConfigurationInForce = 1250,
+    ConfigurationRefused = 1251,
 };
 
 struct EventDescription
--- a/Libraries/LibManifest/JsonReader.cpp
+++ b/Libraries/LibManifest/JsonReader.cpp
@@ -112,13 +112,21 @@
          .allowed = std::move(allowed)});
 }
 
+void JsonValue::reportNested(InputErrors const &nested) const
+{
+    for (InputError error : nested) {
+        error.path = error.path.empty() ? this->location : fmt::format("{}.{}", this->location, error.path);
+        this->errors->push_back(std::move(error));
+    }
+}
+
 void JsonValue::allowKeys(std::initializer_list<std::string_view> keys) const
 {
     if (!this->isPresent())
         return;
     Json const &json = jsonOf(this->node);
     std::string const allowed = fmt::format("an object with the keys {}", fmt::join(keys, ", "));
-    if (!json.is_object()) {
+    if (!this->isObject()) {
         this->report(allowed);
         return;
     }
@@ -131,7 +139,7 @@
 JsonValue JsonValue::find(std::string_view key) const
 {
     JsonValue absent(nullptr, memberPath(this->location, key), this->errors);
-    if (!this->isPresent() || !jsonOf(this->node).is_object())
+    if (!this->isObject())
         return absent;
     Json const &json = jsonOf(this->node);
     auto const found = json.find(std::string(key));
@@ -147,7 +155,7 @@
 {
     JsonValue found = this->find(key);
     // An absent or mistyped parent has been reported; one message for each of its members would add nothing.
-    if (!found.isPresent() && this->isPresent() && jsonOf(this->node).is_object())
+    if (!found.isPresent() && this->isObject())
         found.report("a value");
     return found;
 }
@@ -174,6 +182,11 @@
     return this->isPresent() && jsonOf(this->node).is_string();
 }
 
+bool JsonValue::isObject() const
+{
+    return this->isPresent() && jsonOf(this->node).is_object();
+}
+
 std::string JsonValue::text() const
 {
     if (!this->isPresent())
--- a/Libraries/LibManifest/JsonReader.h
+++ b/Libraries/LibManifest/JsonReader.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,8 @@
 {
 public:
     bool isPresent() const { return this->node != nullptr; }
+    bool isText() const;
+    bool isObject() const;
     std::string const &path() const { return this->location; }
 
     // Reports unless the value is an object with no other keys than these.
@@ -36,8 +39,10 @@
     std::int64_t signedNumber() const;
     bool truth() const;
 
+    // An absent or unknown name gives the fallback, or the first choice without one.
     template<typename Choice>
-    Choice choice(std::initializer_list<std::pair<std::string_view, Choice>> choices) const
+    Choice choice(std::initializer_list<std::pair<std::string_view, Choice>> choices,
+                  std::optional<Choice> fallback = std::nullopt) const
     {
         std::string const found = this->isPresent() ? this->text() : std::string();
         std::string allowed;
@@ -48,7 +53,7 @@
         }
         if (this->isText())
             this->report(allowed);
-        return choices.begin()->second;
+        return fallback.value_or(choices.begin()->second);
     }
 
     // The text of this value as a JSON document of its own.
@@ -56,6 +61,9 @@
 
     void report(std::string allowed) const;
 
+    // Reports errors that another parser found in document().
+    void reportNested(InputErrors const &nested) const;
+
 private:
     friend class JsonDocument;
 
@@ -65,7 +73,6 @@
     }
 
     JsonValue find(std::string_view key) const;
-    bool isText() const;
 
     void const *node; // Null if absent; else a value of the JSON library inside the document.
     std::string location;
--- a/Libraries/LibManifest/ManifestCheck.cpp
+++ b/Libraries/LibManifest/ManifestCheck.cpp
@@ -116,7 +116,8 @@
             if (service.address.address == 0 || service.address.port == 0)
                 this->report(fmt::format("services[{}].address", index), service.address.toString(),
                              "a.b.c.d:port, neither of them 0");
-            if (!poolNames.contains(service.pool))
+            // Without any pool, which is an error of its own, this message would only repeat it.
+            if (!poolNames.empty() && !poolNames.contains(service.pool))
                 this->report(fmt::format("services[{}].pool", index), service.pool,
                              "the name of an entry of pools");
         }
--- a/Libraries/LibManifest/ManifestOperations.cpp
+++ b/Libraries/LibManifest/ManifestOperations.cpp
@@ -20,6 +20,31 @@
         != manifest.failureDomains.end();
 }
 
+bool hasDomain(Manifest const &manifest, std::string const &domain)
+{
+    return std::ranges::find(manifest.failureDomains, domain, &FailureDomain::name)
+        != manifest.failureDomains.end();
+}
+
+// What keeps a merged manifest from replacing the current one; empty if nothing does.
+std::vector<std::string> findObstacles(Manifest const &current, Manifest const &merged)
+{
+    std::vector<std::string> obstacles;
+    if (!current.deployment.empty() && current.deployment != merged.deployment)
+        obstacles.push_back(fmt::format("the manifest is for the deployment {}, this one is {}",
+                                        quotedValue(merged.deployment), quotedValue(current.deployment)));
+    for (FailureDomain const &domain : current.failureDomains) {
+        if (domain.state == FailureDomainState::InService && !hasDomain(merged, domain.name))
+            obstacles.push_back(
+                fmt::format("failure domain {} is in service and not in the manifest; take it out first",
+                            quotedValue(domain.name)));
+    }
+    bool const wasForcedBefore = !current.failureDomains.empty() && !hasDomainInService(current);
+    if (!hasDomainInService(merged) && !wasForcedBefore)
+        obstacles.emplace_back("the manifest would leave no failure domain in service");
+    return obstacles;
+}
+
 std::string namesOf(std::vector<FailureDomain> const &domains)
 {
     std::string names;
@@ -90,9 +115,8 @@
     if (proposal.drainingList == DrainingList::Unnamed)
         merged.drainingTargets = current.drainingTargets;
     std::ranges::sort(merged.drainingTargets);
-    bool const wasForcedBefore = !current.failureDomains.empty() && !hasDomainInService(current);
-    if (!hasDomainInService(merged) && !wasForcedBefore)
-        return absl::FailedPreconditionError("the manifest would leave no failure domain in service");
+    if (auto const obstacles = findObstacles(current, merged); !obstacles.empty())
+        return absl::FailedPreconditionError(fmt::format("{}", fmt::join(obstacles, "; ")));
     return merged;
 }
 
--- a/Libraries/LibManifest/ManifestOperations.h
+++ b/Libraries/LibManifest/ManifestOperations.h
@@ -24,8 +24,9 @@
 absl::StatusOr<Manifest> setTargetDraining(Manifest const &manifest, std::string const &target,
                                            DrainState state);
 
-// The proposal with the states of the current manifest wherever it names none. Refuses to leave no failure
-// domain in service, unless operators forced that state on the current manifest.
+// The proposal with the states of the current manifest wherever it names none. Refused are a manifest of
+// another deployment, one without a failure domain that is still in service (its flows would break; it has to
+// be taken out first), and one that leaves no failure domain in service, unless operators forced that before.
 absl::StatusOr<Manifest> applyProposal(Manifest const &current, ProposedManifest const &proposal);
 
 } // namespace almondwing
--- /dev/null
+++ b/Tests/LibConfiguration/ApplyChangeTest.cpp
@@ -0,0 +1,265 @@
+// Tests of the state machine over the replicated log.
+
+#include "ChangeGenerator.h"
+
+#include <LibConfiguration/ConfigurationMachine.h>
+#include <LibManifest/ManifestCheck.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <map>
+#include <thread>
+
+namespace almondwing {
+
+namespace {
+
+ChangeRequest applyRequest(std::string requestId, std::string operatorName, std::uint64_t baseVersion,
+                           std::uint32_t serviceCount = 2)
+{
+    return {.requestId = std::move(requestId),
+            .operatorName = std::move(operatorName),
+            .baseVersion = baseVersion,
+            .change = ApplyManifest{.proposal = {.manifest = makeManifest(3, 2, serviceCount)}}};
+}
+
+ChangeRequest takeOutRequest(std::string requestId, std::string failureDomain)
+{
+    return {.requestId = std::move(requestId),
+            .operatorName = "jana",
+            .change = SetFailureDomainState{.failureDomain = std::move(failureDomain),
+                                            .state = FailureDomainState::TakenOut}};
+}
+
+bool isRejected(ChangeOutcome const &outcome)
+{
+    return std::holds_alternative<ChangeRejected>(outcome);
+}
+
+} // namespace
+
+class ApplyChangeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ApplyChangeTest);
+    CPPUNIT_TEST(slowerOperatorLearnsWhoWon);
+    CPPUNIT_TEST(resendGetsTheFirstOutcome);
+    CPPUNIT_TEST(reusedIdIsRejectedAndChangesNothing);
+    CPPUNIT_TEST(baseVersionIsOptionalOnlyForOperations);
+    CPPUNIT_TEST(rejectionsGiveTheReasons);
+    CPPUNIT_TEST(racingOperatorsGetOneWinnerForEachVersion);
+    CPPUNIT_TEST(everyRequestIdTakesEffectOnce);
+    CPPUNIT_TEST(snapshotAtAnyPointGivesTheSameState);
+    CPPUNIT_TEST(historyIsBounded);
+    CPPUNIT_TEST(hugeRejectionsAreStoredShort);
+    CPPUNIT_TEST(readersSeeWholeStates);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a change that silently overwrites another operator's change.
+    void slowerOperatorLearnsWhoWon()
+    {
+        ConfigurationMachine machine;
+        CPPUNIT_ASSERT(machine.apply(1, applyRequest("a", "jana", 0)) == ChangeOutcome(ChangeAccepted{1}));
+        CPPUNIT_ASSERT(machine.apply(2, applyRequest("b", "asha", 0, 3))
+                       == ChangeOutcome(ChangeConflict{1, "a", "jana"}));
+        CPPUNIT_ASSERT(machine.apply(3, takeOutRequest("c", "zone-0")) == ChangeOutcome(ChangeAccepted{2}));
+        // The winner is the change on the same base, even if others followed.
+        CPPUNIT_ASSERT(machine.apply(4, applyRequest("d", "asha", 0, 3))
+                       == ChangeOutcome(ChangeConflict{2, "a", "jana"}));
+        CPPUNIT_ASSERT(machine.apply(5, applyRequest("e", "asha", 99))
+                       == ChangeOutcome(ChangeConflict{2, "c", "jana"}));
+    }
+
+    // Guards against a change that runs twice, or is answered differently, when its answer was lost.
+    void resendGetsTheFirstOutcome()
+    {
+        ConfigurationMachine machine;
+        machine.apply(1, applyRequest("a", "jana", 0));
+        machine.apply(2, takeOutRequest("b", "zone-0"));
+        ChangeRequest resend = applyRequest("a", "jana", 0);
+        resend.submittedAt = 77;
+        CPPUNIT_ASSERT(machine.apply(3, resend) == ChangeOutcome(ChangeAccepted{1}));
+        auto const state = machine.snapshot();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state->configuration.version);
+        CPPUNIT_ASSERT(state->audit.back().kind == AuditKind::Repeated);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state->audit.back().resultingVersion);
+    }
+
+    // Guards against an operator who is told that a change was accepted when another one under its id was.
+    void reusedIdIsRejectedAndChangesNothing()
+    {
+        ConfigurationMachine machine;
+        machine.apply(1, applyRequest("a", "jana", 0));
+        CPPUNIT_ASSERT(isRejected(machine.apply(2, applyRequest("a", "jana", 0, 3))));
+        CPPUNIT_ASSERT(isRejected(machine.apply(3, applyRequest("a", "asha", 0))));
+        CPPUNIT_ASSERT(isRejected(machine.apply(4, applyRequest("a", "jana", 1))));
+        CPPUNIT_ASSERT(machine.apply(5, applyRequest("a", "jana", 0)) == ChangeOutcome(ChangeAccepted{1}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, machine.snapshot()->configuration.version);
+    }
+
+    // Guards against a manifest that replaces versions that its author has not seen.
+    void baseVersionIsOptionalOnlyForOperations()
+    {
+        ConfigurationMachine machine;
+        CPPUNIT_ASSERT(isRejected(machine.apply(1, takeOutRequest("early", "zone-0"))));
+        machine.apply(2, applyRequest("a", "jana", 0));
+        ChangeRequest withoutBase = applyRequest("b", "jana", 1);
+        withoutBase.baseVersion.reset();
+        CPPUNIT_ASSERT(isRejected(machine.apply(3, withoutBase)));
+        ChangeRequest withOldBase = takeOutRequest("c", "zone-0");
+        withOldBase.baseVersion = 0;
+        CPPUNIT_ASSERT(std::holds_alternative<ChangeConflict>(machine.apply(4, withOldBase)));
+        CPPUNIT_ASSERT(machine.apply(5, takeOutRequest("d", "zone-0")) == ChangeOutcome(ChangeAccepted{2}));
+    }
+
+    // Guards against rejections that leave the operator guessing, and against unusable ids that are stored.
+    void rejectionsGiveTheReasons()
+    {
+        ConfigurationMachine machine;
+        ChangeRequest invalid = applyRequest("a", "jana", 0);
+        auto &manifest = std::get<ApplyManifest>(invalid.change).proposal.manifest;
+        manifest.pools[1].limits.slots = 0;
+        manifest.services[0].pool = "none";
+        auto const outcome = machine.apply(1, invalid);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, std::get<ChangeRejected>(outcome).errors.size());
+        CPPUNIT_ASSERT(isRejected(machine.apply(2, applyRequest(std::string(65, 'x'), "jana", 0))));
+        CPPUNIT_ASSERT(isRejected(machine.apply(3, applyRequest("b", "", 0))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, machine.snapshot()->knownRequests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, machine.snapshot()->audit.size());
+    }
+
+    // Guards against versions that repeat, decrease or skip, and against two winners on one base version.
+    void racingOperatorsGetOneWinnerForEachVersion()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            ConfigurationState state;
+            std::uint64_t index = 0;
+            for (ChangeRequest const &request : arbitraryLog()) {
+                Configuration const before = state.configuration;
+                bool const isKnown =
+                    std::ranges::find(state.knownRequests, request.requestId, &KnownRequest::requestId)
+                    != state.knownRequests.end();
+                AppliedChange applied = applyChange(std::move(state), ++index, request);
+                state = std::move(applied.state);
+                auto const *const accepted = std::get_if<ChangeAccepted>(&applied.outcome);
+                if (accepted == nullptr || isKnown) {
+                    RC_ASSERT(state.configuration == before);
+                } else {
+                    RC_ASSERT(accepted->version == before.version + 1);
+                    RC_ASSERT(state.configuration.version == accepted->version);
+                    RC_ASSERT(!request.baseVersion || *request.baseVersion == before.version);
+                    RC_ASSERT(checkManifest(state.configuration.manifest).empty());
+                }
+                if (auto const *const conflict = std::get_if<ChangeConflict>(&applied.outcome);
+                    conflict != nullptr && !isKnown) {
+                    RC_ASSERT(conflict->currentVersion == before.version);
+                    RC_ASSERT(request.baseVersion != before.version);
+                    RC_ASSERT(before.version == 0 || !conflict->winningRequestId.empty());
+                }
+                RC_ASSERT(state.audit.back().index == index);
+                RC_ASSERT(state.audit.back().outcome == applied.outcome);
+            }
+        }));
+    }
+
+    // Guards against a request that takes effect twice, or whose outcome changes from one answer to the next.
+    void everyRequestIdTakesEffectOnce()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            std::map<std::string, ChangeOutcome> firstOutcomes;
+            std::map<std::uint64_t, std::string> winners;
+            for (AuditEntry const &entry : appliedLog(arbitraryLog()).audit) {
+                bool const isFirst = firstOutcomes.emplace(entry.requestId, entry.outcome).second;
+                RC_ASSERT(isFirst == (entry.kind == AuditKind::Decided));
+                if (entry.kind == AuditKind::Repeated)
+                    RC_ASSERT(entry.outcome == firstOutcomes.at(entry.requestId));
+                if (entry.kind == AuditKind::IdReused)
+                    RC_ASSERT(isRejected(entry.outcome));
+                auto const *const accepted = std::get_if<ChangeAccepted>(&entry.outcome);
+                if (accepted != nullptr && isFirst)
+                    RC_ASSERT(winners.emplace(accepted->version, entry.requestId).second);
+            }
+        }));
+    }
+
+    // Guards against a replica that differs from the others because it started from a snapshot, got an entry
+    // twice, or was given an older snapshot.
+    void snapshotAtAnyPointGivesTheSameState()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            auto const log = arbitraryLog();
+            ConfigurationState const expected = appliedLog(log);
+            auto const cut = *rc::gen::inRange<std::size_t>(0, log.size() + 1);
+            auto const again = *rc::gen::inRange<std::size_t>(0, cut + 1);
+            ConfigurationState const snapshot =
+                appliedLog({log.begin(), log.begin() + static_cast<std::ptrdiff_t>(cut)});
+            ConfigurationMachine machine;
+            RC_ASSERT((machine.restore(snapshot) == RestoreOutcome::Restored) == (cut > 0));
+            for (std::size_t index = again; index < log.size(); ++index)
+                machine.apply(index + 1, log[index]);
+            RC_ASSERT(*machine.snapshot() == expected);
+            RC_ASSERT(machine.restore(snapshot) == RestoreOutcome::NotNewer);
+            RC_ASSERT(*machine.snapshot() == expected);
+        }));
+    }
+
+    // Guards against memory that grows with every change that operators ever made.
+    void historyIsBounded()
+    {
+        constexpr std::uint64_t excess = 20;
+        ConfigurationState state = applyChange({}, 1, applyRequest("first", "jana", 0)).state;
+        for (std::uint64_t index = 2; index <= maximumKnownRequests + excess; ++index)
+            state = applyChange(std::move(state), index, takeOutRequest(fmt::format("r{}", index), "zone-0"))
+                        .state;
+        CPPUNIT_ASSERT_EQUAL(maximumKnownRequests, state.knownRequests.size());
+        CPPUNIT_ASSERT_EQUAL(maximumAuditEntries, state.audit.size());
+        CPPUNIT_ASSERT_EQUAL(excess + 1, state.audit.front().index);
+        // The winner on a forgotten base version is no longer known; the last one is named instead.
+        auto const conflict = std::get<ChangeConflict>(
+            applyChange(state, state.lastIndex + 1, applyRequest("late", "asha", 0)).outcome);
+        CPPUNIT_ASSERT_EQUAL(state.lastAccepted.requestId, conflict.winningRequestId);
+    }
+
+    // Guards against rejected garbage that fills the memory of every control instance.
+    void hugeRejectionsAreStoredShort()
+    {
+        ChangeRequest invalid = applyRequest("a", "jana", 0);
+        for (Service &service : std::get<ApplyManifest>(invalid.change).proposal.manifest.services)
+            service.pool = service.name = std::string(5000, 'X');
+        for (std::uint32_t count = 0; count < 20; ++count)
+            std::get<ApplyManifest>(invalid.change).proposal.manifest.drainingTargets.emplace_back(5000, 'X');
+        AppliedChange const applied = applyChange({}, 1, invalid);
+        auto const &errors = std::get<ChangeRejected>(applied.outcome).errors;
+        CPPUNIT_ASSERT_EQUAL(maximumStoredErrors + 1, errors.size());
+        for (std::string const &error : errors)
+            CPPUNIT_ASSERT(error.size() <= maximumStoredErrorLength);
+        ChangeRequest const withLongNames = takeOutRequest(std::string(5000, 'X'), std::string(5000, 'X'));
+        AuditEntry const entry = applyChange(applied.state, 2, withLongNames).state.audit.back();
+        CPPUNIT_ASSERT(entry.requestId.size() + entry.description.size() < 300);
+    }
+
+    // Guards against an audit reader on another thread that sees a state half applied.
+    void readersSeeWholeStates()
+    {
+        ConfigurationMachine machine;
+        constexpr std::uint64_t changes = 200;
+        constexpr int reads = 2000;
+        std::atomic<int> tornReads = 0;
+        {
+            std::jthread const reader([&] {
+                for (int count = 0; count < reads; ++count) {
+                    auto const state = machine.snapshot();
+                    tornReads += state->lastIndex == state->audit.size() ? 0 : 1;
+                }
+            });
+            machine.apply(1, applyRequest("first", "jana", 0));
+            for (std::uint64_t index = 2; index <= changes; ++index)
+                machine.apply(index, takeOutRequest(fmt::format("r{}", index), "zone-0"));
+        }
+        CPPUNIT_ASSERT_EQUAL(0, tornReads.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ApplyChangeTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibConfiguration/ConfigurationKeeperTest.cpp
@@ -0,0 +1,105 @@
+// Tests that an instance never goes back to an older configuration.
+
+#include "../LibManifest/ManifestGenerator.h"
+
+#include <LibConfiguration/ConfigurationKeeper.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+Configuration configurationOf(std::uint64_t version)
+{
+    return {.version = version, .manifest = makeManifest(2, 1, static_cast<std::uint32_t>(1 + version % 3))};
+}
+
+EventReporter ignoringEvents()
+{
+    return [](Event, std::string const &) {};
+}
+
+} // namespace
+
+class ConfigurationKeeperTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigurationKeeperTest);
+    CPPUNIT_TEST(versionNeverDecreases);
+    CPPUNIT_TEST(contradictionsAndInvalidManifestsAreReported);
+    CPPUNIT_TEST(racingPeersLeaveTheHighestVersion);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a lagging peer that brings an older configuration back into force.
+    void versionNeverDecreases()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            Blackboard blackboard;
+            ConfigurationKeeper keeper(blackboard, ignoringEvents());
+            std::uint64_t highest = 0;
+            for (std::uint64_t const version :
+                 *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(1, 9))) {
+                KeepOutcome const outcome = keeper.take(configurationOf(version));
+                RC_ASSERT((outcome == KeepOutcome::Kept) == (version > highest));
+                highest = std::max(highest, version);
+                RC_ASSERT(*blackboard.configuration.read() == configurationOf(highest));
+            }
+        }));
+    }
+
+    // Guards against two clusters that share an address, and against a damaged answer of a peer.
+    void contradictionsAndInvalidManifestsAreReported()
+    {
+        Blackboard blackboard;
+        std::vector<Event> events;
+        ConfigurationKeeper keeper(blackboard,
+                                   [&events](Event event, std::string const &) { events.push_back(event); });
+        CPPUNIT_ASSERT(keeper.take(configurationOf(4)) == KeepOutcome::Kept);
+        Configuration other = configurationOf(4);
+        other.manifest.failureDomains[0].state = FailureDomainState::TakenOut;
+        CPPUNIT_ASSERT(keeper.take(other) == KeepOutcome::Refused);
+        Configuration invalid = configurationOf(5);
+        invalid.manifest.services[0].pool = "none";
+        CPPUNIT_ASSERT(keeper.take(invalid) == KeepOutcome::Refused);
+        CPPUNIT_ASSERT(keeper.take(configurationOf(4)) == KeepOutcome::NotNewer);
+        CPPUNIT_ASSERT(*blackboard.configuration.read() == configurationOf(4));
+        CPPUNIT_ASSERT((events
+                        == std::vector{Event::ConfigurationInForce, Event::ConfigurationRefused,
+                                       Event::ConfigurationRefused}));
+    }
+
+    // Guards against two threads that fetched from different peers, where the older answer is written last.
+    void racingPeersLeaveTheHighestVersion()
+    {
+        constexpr std::uint64_t versionsPerThread = 100;
+        constexpr std::uint64_t threadCount = 4;
+        // The check of a large manifest leaves the other threads time to write in between.
+        Manifest const manifest = makeManifest(2, 1, 500);
+        Blackboard blackboard;
+        ConfigurationKeeper keeper(blackboard, ignoringEvents());
+        std::atomic<int> decreases = 0;
+        {
+            std::vector<std::jthread> threads;
+            threads.reserve(threadCount);
+            for (std::uint64_t thread = 0; thread < threadCount; ++thread)
+                threads.emplace_back([&, thread] {
+                    for (std::uint64_t count = 0; count < versionsPerThread; ++count) {
+                        std::uint64_t const version = 1 + count * threadCount + thread;
+                        keeper.take({.version = version, .manifest = manifest});
+                        decreases += blackboard.configuration.read()->version < version ? 1 : 0;
+                    }
+                });
+        }
+        CPPUNIT_ASSERT_EQUAL(0, decreases.load());
+        CPPUNIT_ASSERT_EQUAL(versionsPerThread * threadCount, blackboard.configuration.read()->version);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationKeeperTest);
+
+} // namespace almondwing
--- a/Tests/LibManifest/ManifestOperationsTest.cpp
+++ b/Tests/LibManifest/ManifestOperationsTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(operatorStatesSurviveAnAppliedManifest);
     CPPUNIT_TEST(namedStatesReplaceOperatorStates);
     CPPUNIT_TEST(manifestWithoutDomainInServiceIsRefused);
+    CPPUNIT_TEST(manifestThatBreaksFlowsIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against an operator who stops all services by taking out one failure domain too many.
@@ -118,6 +119,21 @@
         allOut.failureDomains[0].state = FailureDomainState::TakenOut;
         CPPUNIT_ASSERT(!applyProposal(Manifest{}, ProposedManifest::withAllStates(allOut)).ok());
     }
+
+    // Guards against the manifest of another deployment, and against one that drops a failure domain whose
+    // flows are still up.
+    void manifestThatBreaksFlowsIsRefused()
+    {
+        Manifest const current = makeManifest(3, 1, 1);
+        ProposedManifest other{.manifest = makeManifest(3, 1, 1)};
+        other.manifest.deployment = "tz-dar";
+        CPPUNIT_ASSERT(absl::IsFailedPrecondition(applyProposal(current, other).status()));
+        ProposedManifest const shorter{.manifest = makeManifest(2, 1, 1)};
+        CPPUNIT_ASSERT(absl::IsFailedPrecondition(applyProposal(current, shorter).status()));
+        auto const takenOut =
+            setFailureDomainState(current, "zone-2", FailureDomainState::TakenOut, LastDomainPolicy::Refuse);
+        CPPUNIT_ASSERT(applyProposal(*takenOut, shorter).ok());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ManifestOperationsTest);
