--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -113,6 +113,11 @@
                      "A target gets no new work because it is draining.", "None."},
     EventDescription{Event::AnnouncementRejected, Severity::Warning, "AnnouncementRejected",
                      "An announcement of a target was rejected.", "Correct the settings of the target."},
+    EventDescription{Event::ConfigurationInForce, Severity::Information, "ConfigurationInForce",
+                     "A newer version of the configuration is in force on this instance.", "None."},
+    EventDescription{Event::ConfigurationRefused, Severity::Error, "ConfigurationRefused",
+                     "A peer offered a configuration that breaks a rule or contradicts the version in force.",
+                     "Check that all control instances belong to the same cluster and share one log."},
 };
 
 } // namespace
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -51,6 +51,8 @@
     HealthViewDoubted = 1406,
     TargetDraining = 1407,
     AnnouncementRejected = 1408,
+    ConfigurationInForce = 1250,
+    ConfigurationRefused = 1251,
 };
 
 struct EventDescription
