State: Add the values and tables of requests

Cause: dispatchers and replica group members need shared state for requests. Change: RequestRecord.h holds the request record, queues, replica records, kept answers, retry budget and the pacing ring; Blackboard gets their tables. Events 1300 to 1306 report what operators should see of them. Conclusion: LibRequests can keep all its state on the blackboard.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -19,6 +19,13 @@
     ProcessStopped = 1002,
     SettingsRejected = 1003,
     InputDropped = 1100,
+    RecordQuorumMissing = 1300,
+    TryOverdue = 1301,
+    SlotConfirmationMissing = 1302,
+    ForeignAnswerDropped = 1303,
+    AnswerMemoryFull = 1304,
+    SlotsInherited = 1305,
+    TargetRestartedUnderTry = 1306,
 };
 
 struct EventDescription
--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -10,6 +10,7 @@
 #include <LibMessages/PeerMessages.h>
 #include <LibState/FlowRecord.h>
 #include <LibState/OwnStatus.h>
+#include <LibState/RequestRecord.h>
 #include <LibState/RoutingView.h>
 #include <LibState/TargetUsage.h>
 
@@ -34,6 +35,15 @@
     ShardedTable<TargetId, ClaimUpdate, 16> claims; // Writer: claims.
     ShardedTable<TargetId, TargetUsage, 16> usage; // Writers: flows, requests; reader: targets.
     ShardedTable<FlowKey, FlowRecord> flows; // Writer: flows.
+    ShardedTable<RequestKey, RequestRecord> requests; // Writer: requests, as all tables down to pacing.
+    ShardedTable<TargetId, RequestQueue, 16> queues;
+    ShardedTable<TargetId, BucketUse, 16> requestBuckets; // Readers: claims, through the request controller.
+    ShardedTable<RequestKey, ReplicaRecord> replicaRecords;
+    ShardedTable<std::uint64_t, ExpiringRequests> expiringRequests; // Key: see ExpirySchedule.
+    ShardedTable<ServiceId, RetryBudget, 16> retryBudgets;
+    ShardedTable<std::uint64_t, PacedPart> pacedParts; // Key: position in the ring of PacingState.
+    Cell<PacingState> pacing;
+    Cell<KeptAnswerTotal> keptAnswers;
     Cell<RoutingView> routingView; // Writer: table.
     Cell<Configuration> configuration; // Writer: configuration.
     Cell<OwnStatus> ownStatus; // Writer: membership.
