--- /dev/null
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -0,0 +1,356 @@
+// Implements the arrival of requests: known, refused, located or queued.
+
+#include <LibRequests/RequestAdmission.h>
+
+#include <LibRequests/RetryPolicy.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+RequestAdmission::RequestAdmission(RequestStore &requestStore, RequestOutcomes &finalOutcomes,
+                                   TryRunner &tryRunner, ReplicaRecords &groupRecords,
+                                   RandomSource const &randomSource)
+    : store(requestStore), outcomes(finalOutcomes), runner(tryRunner), replicas(groupRecords),
+      random(randomSource)
+{
+}
+
+RequestRecord RequestAdmission::firstRecord(ArrivedRequest const &arrived, Timestamp now) const
+{
+    RequestRecord record;
+    record.target = arrived.target;
+    record.caller = arrived.caller;
+    record.attempt = arrived.request.attempt;
+    record.requestClass = arrived.request.requestClass;
+    record.idempotency = arrived.request.idempotency;
+    record.hops = arrived.hops;
+    record.deadline = now + arrived.request.timeLeft;
+    record.payload = std::make_shared<std::string const>(arrived.request.payload);
+    record.phaseSince = now;
+    bool const mustAsk = this->mustLocate(record, arrived.request.key, arrived.purpose, now);
+    // Without a lease another instance may dispatch for the target and have run a resend.
+    bool const mayBeReplaced = record.idempotency == Idempotency::NonIdempotent
+        && this->store.board().ownStatus.read()->lease != LeaseState::Held;
+    record.history = mustAsk || mayBeReplaced ? RunHistory::Uncertain : RunHistory::CertainlyNone;
+    return record;
+}
+
+bool RequestAdmission::mustLocate(RequestRecord const &record, RequestKey key, ForwardPurpose purpose,
+                                  Timestamp now) const
+{
+    // The dispatcher that spilled a first send knows that it has not run, and never runs it itself.
+    bool const isFreshSpill = purpose == ForwardPurpose::Spill && record.attempt == 1;
+    auto const view = this->store.view();
+    ServiceRoutes const *const routes = view->findService(key.service);
+    if (routes == nullptr || isFreshSpill)
+        return record.idempotency == Idempotency::NonIdempotent && record.attempt > 1;
+    std::vector<ClaimUpdate> claims;
+    for (RoutedTarget const &target : routes->targets) {
+        if (auto const claim = this->store.board().claims.read(target.record.id))
+            claims.push_back(claim->value);
+    }
+    return needsLocating(record, record.target, bucketOf(std::hash<RequestKey>{}(key)), *routes, claims,
+                         this->store.usage(record.target).inheritedUntil, this->store.times(), now);
+}
+
+void RequestAdmission::handle(ArrivedRequest const &arrived, Timestamp now)
+{
+    RequestKey const key = arrived.request.key;
+    RequestRecord const record = this->firstRecord(arrived, now);
+    if (this->store.create(key, record) != WriteOutcome::Written) {
+        if (auto const known = this->store.find(key))
+            this->handleKnown(*known, arrived, now);
+        return;
+    }
+    this->store.board().retryBudgets.update(key.service, [](std::optional<RetryBudget> const &budget) {
+        return std::optional(earnRetry(budget.value_or(RetryBudget{})));
+    });
+    if (this->yieldToHolder(arrived, record, now) || this->refuseAtOnce(key, record, now))
+        return;
+    if (record.history == RunHistory::Uncertain)
+        this->startLocating(key, record, now);
+    else
+        this->admit(key, RequestPhase::Admitting, now);
+}
+
+void RequestAdmission::handleKnown(RequestRecord const &known, ArrivedRequest const &arrived, Timestamp now)
+{
+    RequestKey const key = arrived.request.key;
+    bool const isLost = known.phase == RequestPhase::Elsewhere
+        && (arrived.purpose == ForwardPurpose::SearchEnded
+            || arrived.hops >= this->store.times().maxPassOnHops);
+    if (isLost) {
+        FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
+        this->outcomes.finish(key, RequestPhase::Elsewhere, unknown, now);
+        return;
+    }
+    auto const record = this->store.change(key, [&](RequestRecord const &current) {
+        RequestRecord next = current;
+        next.caller = arrived.caller;
+        next.attempt = std::max(current.attempt, arrived.request.attempt);
+        return std::optional(next);
+    });
+    if (!record)
+        return;
+    if (record->phase == RequestPhase::Finished)
+        this->outcomes.repeatOutcome(key, *record);
+    if (record->phase == RequestPhase::Elsewhere) {
+        Request resend = arrived.request;
+        resend.attempt = std::max(resend.attempt, 2U); // See case 10 in the header.
+        this->passOn(*record, arrived.caller, arrived.hops, resend);
+    }
+}
+
+void RequestAdmission::passOn(RequestRecord const &record, Endpoint caller, std::uint8_t hops,
+                              CallerMessage const &message)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed =
+        record.elsewhereTargets.empty() ? nullptr : view->findTarget(record.elsewhereTargets.front());
+    bool const hasSuccessor = routed != nullptr && !routed->dispatcher.isNone();
+    this->outcomes.out().sendToInstance(hasSuccessor ? routed->dispatcher : record.elsewhere,
+                                        Forwarded{.caller = caller,
+                                                  .purpose = record.elsewherePurpose,
+                                                  .hops = static_cast<std::uint8_t>(hops + 1),
+                                                  .origin = this->store.self(),
+                                                  .candidates = record.elsewhereTargets,
+                                                  .message = message});
+}
+
+bool RequestAdmission::yieldToHolder(ArrivedRequest const &arrived, RequestRecord const &record,
+                                     Timestamp now)
+{
+    if (record.idempotency == Idempotency::Idempotent)
+        return false;
+    RequestKey const key = arrived.request.key;
+    auto const held = this->replicas.find(key, now);
+    if (!held)
+        return false;
+    bool const isPromisedToOther =
+        held->kind == ReplicaRecordKind::Promised && held->holder != this->store.self();
+    if (held->kind == ReplicaRecordKind::Promised && !isPromisedToOther)
+        return false;
+    if (isPromisedToOther) {
+        this->handOver(key, record, {held->holder}, now);
+        if (auto const moved = this->store.find(key); moved && moved->phase == RequestPhase::Elsewhere)
+            this->passOn(*moved, arrived.caller, arrived.hops, arrived.request);
+        return true;
+    }
+    FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
+    this->outcomes.finish(key, RequestPhase::Admitting, unknown, now);
+    return true;
+}
+
+bool RequestAdmission::refuseAtOnce(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    Reason reason = Reason::None;
+    if (record.deadline <= now)
+        reason = Reason::DeadlinePassed;
+    else if (this->gate == AdmissionGate::Stopping)
+        reason = Reason::InstanceStopping;
+    else if (this->store.board().ownStatus.read()->lease != LeaseState::Held)
+        reason = Reason::LeaseExpired;
+    else if (this->store.queue(record.target).active.size() >= this->store.times().locatingBound)
+        reason = Reason::QueueFull;
+    return reason != Reason::None
+        && this->outcomes.refuse(key, RequestPhase::Admitting, reason, Duration::zero(), now);
+}
+
+bool RequestAdmission::hasLongTenure(TargetId target, Timestamp now) const
+{
+    auto const tookOverAt = this->store.queue(target).tookOverAt;
+    return this->replicas.vouches(now) && (!tookOverAt || now - *tookOverAt >= this->store.times().memoryGap);
+}
+
+void RequestAdmission::startLocating(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    auto const view = this->store.view();
+    ServiceRoutes const *const routes = view->findService(key.service);
+    if (routes == nullptr) {
+        this->outcomes.refuse(key, RequestPhase::Admitting, Reason::NoTarget, Duration::zero(), now);
+        return;
+    }
+    InstanceId const self = this->store.self();
+    TargetId const ownTarget = this->hasLongTenure(record.target, now) ? record.target : TargetId{};
+    auto plan = planLocate(*routes, self, ownTarget, [this](InstanceId instance) {
+        auto const member = this->store.board().members.read(instance);
+        return member && member->value.state == MemberState::Dead;
+    });
+    auto const located =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Admitting)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Locating;
+            next.phaseSince = now;
+            next.lastSent = now;
+            next.locate = plan.progress;
+            return next;
+        });
+    if (!located)
+        return;
+    this->store.changeQueue(record.target,
+                            [&](RequestQueue queue) { return withActive(std::move(queue), key); });
+    // This instance is a member of groups itself and is asked like the others.
+    switch (this->replicas.promise(key, self, now)) {
+    case PromiseOutcome::Given:
+        this->addAnswer(self, key, &LocateProgress::notKnown, now);
+        break;
+    case PromiseOutcome::Known:
+        this->addAnswer(self, key, &LocateProgress::known, now);
+        break;
+    case PromiseOutcome::Unable:
+        this->addAnswer(self, key, &LocateProgress::unable, now);
+        break;
+    }
+    this->sendLocates(key, plan.progress, plan.ask);
+}
+
+void RequestAdmission::sendLocates(RequestKey key, LocateProgress const &progress,
+                                   std::vector<InstanceId> const &ask)
+{
+    auto const isIn = [](std::vector<InstanceId> const &list, InstanceId instance) {
+        return std::ranges::find(list, instance) != list.end();
+    };
+    for (InstanceId const instance : ask) {
+        if (!isIn(progress.notKnown, instance) && !isIn(progress.known, instance)
+            && !isIn(progress.unable, instance))
+            this->outcomes.out().sendToInstance(instance, Locate{.key = key});
+    }
+}
+
+void RequestAdmission::addAnswer(InstanceId from, RequestKey key,
+                                 std::vector<InstanceId> LocateProgress::*list, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Locating
+                || std::ranges::find(current.locate.*list, from) != (current.locate.*list).end())
+                return std::nullopt;
+            RequestRecord next = current;
+            (next.locate.*list).push_back(from);
+            return next;
+        });
+    if (!record)
+        return;
+    auto const &times = this->store.times();
+    bool const isLate = now - record->phaseSince > times.locateWait + times.pauseTolerance;
+    auto const result = isLate ? LocateResult::Incomplete : judgeLocate(record->locate);
+    if (result != LocateResult::Pending)
+        this->concludeLocating(key, result, now);
+}
+
+void RequestAdmission::concludeLocating(RequestKey key, LocateResult result, Timestamp now)
+{
+    auto const record = this->store.find(key);
+    if (!record || record->phase != RequestPhase::Locating)
+        return;
+    if (result == LocateResult::NotKnown) {
+        this->admit(key, RequestPhase::Locating, now);
+        return;
+    }
+    if (!record->locate.known.empty()) {
+        this->handOver(key, *record, record->locate.known, now);
+        return;
+    }
+    // A first send, too, may have a copy that was run elsewhere, so this is never NotRun.
+    FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::LocateIncomplete};
+    this->outcomes.finish(key, RequestPhase::Locating, unknown, now);
+}
+
+void RequestAdmission::handOver(RequestKey key, RequestRecord const &record,
+                                std::vector<InstanceId> const &known, Timestamp now)
+{
+    auto const view = this->store.view();
+    ServiceRoutes const *const routes = view->findService(key.service);
+    InstanceId const self = this->store.self();
+    std::vector<TargetId> targets;
+    std::vector<InstanceId> covered{self};
+    for (RoutedTarget const &target : routes != nullptr ? routes->targets : std::vector<RoutedTarget>{}) {
+        bool const isKnower = std::ranges::find(known, target.dispatcher) != known.end();
+        if (!isKnower || std::ranges::find(covered, target.dispatcher) != covered.end())
+            continue;
+        targets.push_back(target.record.id);
+        covered.push_back(target.dispatcher);
+    }
+    // An instance that knows the request but dispatches for no target has only a record of it.
+    if (targets.empty()) {
+        FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
+        this->outcomes.finish(key, record.phase, unknown, now);
+        return;
+    }
+    auto const moved =
+        this->markElsewhere(key, record.phase, covered[1], ForwardPurpose::Search, targets, now);
+    if (!moved || record.phase == RequestPhase::Admitting)
+        return;
+    this->passOn(*moved, moved->caller, moved->hops,
+                 Request{.key = key,
+                         .attempt = moved->attempt,
+                         .requestClass = moved->requestClass,
+                         .idempotency = moved->idempotency,
+                         .timeLeft = moved->deadline - now,
+                         .payload = record.payload ? *record.payload : ""});
+}
+
+std::optional<RequestRecord> RequestAdmission::markElsewhere(RequestKey key, RequestPhase phase,
+                                                             InstanceId instance, ForwardPurpose purpose,
+                                                             std::vector<TargetId> const &targets,
+                                                             Timestamp now)
+{
+    auto record = this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+        if (current.phase != phase)
+            return std::nullopt;
+        RequestRecord next = current;
+        next.phase = RequestPhase::Elsewhere;
+        next.phaseSince = now;
+        next.payload = nullptr;
+        next.locate = {};
+        next.elsewhere = instance;
+        next.elsewherePurpose = purpose;
+        next.elsewhereTargets = targets;
+        next.keepUntil = this->store.keepUntil(current, now);
+        return next;
+    });
+    if (!record)
+        return std::nullopt;
+    this->store.changeQueue(record->target, [&](RequestQueue queue) {
+        return withoutActive(withoutWaiting(std::move(queue), key), key);
+    });
+    this->store.fileForExpiry(key, *record);
+    return record;
+}
+
+void RequestAdmission::handleLocateReply(InstanceId from, LocateReply const &reply, Timestamp now)
+{
+    auto const list =
+        reply.verdict == LocateVerdict::Known ? &LocateProgress::known : &LocateProgress::notKnown;
+    this->addAnswer(from, reply.key, list, now);
+}
+
+void RequestAdmission::handleLocate(InstanceId from, Locate const &message, Timestamp now)
+{
+    auto const isKnownHere = [&] {
+        auto const record = this->store.find(message.key);
+        // A request that was handed to the asker is the asker's to run.
+        return record && !(record->phase == RequestPhase::Elsewhere && record->elsewhere == from);
+    };
+    auto const answer = [&](LocateVerdict verdict) {
+        this->outcomes.out().sendToInstance(from, LocateReply{.key = message.key, .verdict = verdict});
+    };
+    if (isKnownHere()) {
+        answer(LocateVerdict::Known);
+        return;
+    }
+    auto const promise = this->replicas.promise(message.key, from, now);
+    // Looked up again: the request may have arrived while the promise was being written.
+    if (promise == PromiseOutcome::Known || isKnownHere())
+        answer(LocateVerdict::Known);
+    else if (promise == PromiseOutcome::Given)
+        answer(LocateVerdict::NotKnown);
+    else // "Can't keep it": answered, but not a vote for "not known".
+        this->outcomes.out().sendToInstance(
+            from, RecordReply{.key = message.key, .tryId = 0, .verdict = RecordVerdict::Refused});
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -0,0 +1,226 @@
+// Implements the request controller.
+
+#include <LibRequests/RequestController.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+RequestController::RequestController(Blackboard &board, RequestSettings settingsInUse, Outbox hooks,
+                                     RandomSource randomSource)
+    : blackboard(board), settings(settingsInUse), outbox(std::move(hooks)), random(std::move(randomSource)),
+      schedule(board), store(board, this->settings, this->schedule),
+      replicas(board, this->settings, this->schedule), outcomes(this->store, this->replicas, this->outbox),
+      runner(this->store, this->outcomes, this->random),
+      admission(this->store, this->outcomes, this->runner, this->replicas, this->random)
+{
+}
+
+void RequestController::handleRequest(Endpoint caller, Request const &request, TargetId target,
+                                      ForwardPurpose purpose, std::uint8_t hops, Timestamp now)
+{
+    ArrivedRequest const arrived{
+        .caller = caller, .request = request, .target = target, .purpose = purpose, .hops = hops};
+    this->admission.handle(arrived, now);
+}
+
+bool RequestController::isKnown(RequestKey key) const
+{
+    auto const record = this->store.find(key);
+    return record && record->phase != RequestPhase::Elsewhere;
+}
+
+void RequestController::handleCancel(Endpoint caller, CancelRequest const &message, std::uint8_t hops,
+                                     Timestamp now)
+{
+    auto const record = this->store.find(message.key);
+    if (!record)
+        return;
+    switch (record->phase) {
+    case RequestPhase::Elsewhere:
+        if (hops < this->settings.maxPassOnHops)
+            this->admission.passOn(*record, caller, hops, message);
+        return;
+    case RequestPhase::Running:
+        this->runner.cancel(message.key, Reason::Cancelled, now);
+        return;
+    case RequestPhase::Finished:
+        return;
+    case RequestPhase::Admitting:
+    case RequestPhase::Locating:
+    case RequestPhase::Recording:
+    case RequestPhase::Queued:
+        // It may have started meanwhile, and then the refusal does nothing.
+        if (!this->outcomes.refuse(message.key, record->phase, Reason::Cancelled, Duration::zero(), now))
+            this->runner.cancel(message.key, Reason::Cancelled, now);
+        return;
+    }
+}
+
+void RequestController::handleResendParts(Endpoint caller, ResendParts const &message, std::uint8_t hops,
+                                          Timestamp now)
+{
+    static_cast<void>(now);
+    auto const record = this->store.find(message.key);
+    if (!record)
+        return;
+    if (record->phase == RequestPhase::Elsewhere) {
+        if (hops < this->settings.maxPassOnHops)
+            this->admission.passOn(*record, caller, hops, message);
+        return;
+    }
+    if (record->answer && record->answer->tryId == message.tryId)
+        this->outcomes.resendParts(message.key, *record, message.parts);
+}
+
+void RequestController::handleTargetMessage(Endpoint from, RequestTargetMessage const &message, Timestamp now)
+{
+    if (auto const *const started = std::get_if<RequestStarted>(&message))
+        this->runner.handleStarted(from, *started, now);
+    else if (auto const *const shed = std::get_if<Shed>(&message))
+        this->runner.handleShed(from, *shed, now);
+    else if (auto const *const part = std::get_if<AnswerPart>(&message))
+        this->runner.handlePart(from, *part, now);
+}
+
+void RequestController::handlePeerMessage(InstanceId from, RequestPeerMessage const &message, Timestamp now)
+{
+    if (auto const *const request = std::get_if<RecordRequest>(&message)) {
+        auto const verdict = this->replicas.record(*request, now);
+        this->outbox.sendToInstance(
+            from, RecordReply{.key = request->key, .tryId = request->tryId, .verdict = verdict});
+    } else if (auto const *const reply = std::get_if<RecordReply>(&message)) {
+        this->admission.handleRecordReply(from, *reply, now);
+    } else if (auto const *const release = std::get_if<RecordRelease>(&message)) {
+        this->replicas.release(from, *release);
+    } else if (auto const *const locate = std::get_if<Locate>(&message)) {
+        this->admission.handleLocate(from, *locate, now);
+    } else if (auto const *const located = std::get_if<LocateReply>(&message)) {
+        this->admission.handleLocateReply(from, *located, now);
+    }
+}
+
+void RequestController::handleTakeover(TargetId target, Timestamp now)
+{
+    auto const longest = this->replicas.longestDeadline(target, now);
+    Timestamp const until = std::max(now + this->settings.slotGrace, longest.value_or(now));
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(target);
+    std::uint32_t const slots = routed != nullptr ? routed->fullLimits.slots : 0;
+    this->blackboard.usage.update(target, [&](std::optional<TargetUsage> const &current) {
+        TargetUsage next = current.value_or(TargetUsage{});
+        next.inheritedSlots = std::max(slots, next.inheritedSlots);
+        next.inheritedUntil = std::max(until, next.inheritedUntil);
+        return std::optional(next);
+    });
+    this->store.changeQueue(target, [&](RequestQueue queue) {
+        queue.tookOverAt = now;
+        queue.dispatchLostAt = std::nullopt;
+        return queue;
+    });
+    this->outbox.report(
+        Event::SlotsInherited,
+        fmt::format("target {:x}, {} slots, {} ms", target.value, slots, (until - now) / 1ms));
+}
+
+void RequestController::tick(Timestamp now)
+{
+    for (auto const &[target, queue] : this->blackboard.queues.entries())
+        this->tickTarget(target, queue, now);
+    auto const expired = this->schedule.takeExpired(now);
+    this->store.expire(expired.requests, now);
+    this->replicas.expire(expired.replicaRecords, now);
+    this->sendNextBulkPart(now);
+}
+
+void RequestController::tickTarget(TargetId target, RequestQueue const &queue, Timestamp now)
+{
+    this->noteDispatcher(target, now);
+    for (auto const &waiting : queue.waiting) {
+        for (RequestKey const key : waiting)
+            this->tickRequest(key, now);
+    }
+    for (RequestKey const key : queue.active)
+        this->tickRequest(key, now);
+    this->store.tidyQueue(target);
+    Reason const obstacle = this->runner.obstacle(target, now);
+    if (obstacle != Reason::None)
+        this->refuseWaiting(target, queue, obstacle, now);
+    else
+        this->runner.dispatch(target, now);
+}
+
+void RequestController::tickRequest(RequestKey key, Timestamp now)
+{
+    auto const record = this->store.find(key);
+    if (!record)
+        return;
+    this->runner.checkTargetProcess(key, *record, now);
+    RequestStep const step = nextStep(*record, this->settings, now);
+    if (step == RequestStep::None)
+        return;
+    if (record->phase == RequestPhase::Running || record->phase == RequestPhase::Finished)
+        this->runner.takeStep(key, step, now);
+    else
+        this->admission.takeStep(key, step, now);
+}
+
+void RequestController::refuseWaiting(TargetId target, RequestQueue const &queue, Reason reason,
+                                      Timestamp now)
+{
+    static_cast<void>(target);
+    for (auto const &waiting : queue.waiting) {
+        for (RequestKey const key : waiting) {
+            for (auto const phase : {RequestPhase::Recording, RequestPhase::Queued})
+                this->outcomes.refuse(key, phase, reason, Duration::zero(), now);
+        }
+    }
+}
+
+void RequestController::noteDispatcher(TargetId target, Timestamp now)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(target);
+    bool const isOwn = routed != nullptr && routed->dispatcher == this->store.self();
+    bool const isNoted = this->store.queue(target).dispatchLostAt.has_value();
+    if (isOwn != isNoted)
+        return;
+    this->store.changeQueue(target, [&](RequestQueue queue) {
+        queue.dispatchLostAt = isOwn ? std::nullopt : std::optional(now);
+        return queue;
+    });
+}
+
+std::optional<Timestamp> RequestController::sendNextBulkPart(Timestamp now)
+{
+    return this->outcomes.sendNextBulkPart(now);
+}
+
+void RequestController::beginStop(Timestamp now)
+{
+    static_cast<void>(now);
+    this->admission.close();
+}
+
+bool RequestController::isIdle() const
+{
+    bool const isBusy = std::ranges::any_of(this->blackboard.queues.entries(), [](auto const &entry) {
+        return !entry.second.active.empty()
+            || std::ranges::any_of(entry.second.waiting, [](auto const &list) { return !list.empty(); });
+    });
+    return !isBusy && !this->outcomes.hasPacedParts();
+}
+
+std::set<std::uint16_t> RequestController::bucketsInUse(TargetId target) const
+{
+    std::set<std::uint16_t> buckets;
+    if (auto const use = this->blackboard.requestBuckets.read(target)) {
+        for (auto const &[bucket, count] : use->value.counts)
+            buckets.insert(bucket);
+    }
+    return buckets;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -0,0 +1,294 @@
+// The second half of RequestAdmission: from an admitted request to its place in the queue, its records, or
+// the dispatcher of another target.
+
+#include <LibRequests/RequestAdmission.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::size_t recordQuorum = 2;
+
+} // namespace
+
+void RequestAdmission::admit(RequestKey key, RequestPhase phase, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != phase)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Admitting;
+            next.history = RunHistory::CertainlyNone;
+            return next;
+        });
+    if (!record)
+        return;
+    phase = RequestPhase::Admitting;
+    this->store.changeQueue(record->target,
+                            [&](RequestQueue queue) { return withoutActive(std::move(queue), key); });
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(record->target);
+    Reason const obstacle = this->runner.obstacle(record->target, now);
+    if (obstacle != Reason::None || routed == nullptr) {
+        if (!this->spill(key, *record, now))
+            this->outcomes.refuse(key, phase, obstacle, Duration::zero(), now);
+        return;
+    }
+    bool const needsRecord = record->idempotency == Idempotency::NonIdempotent;
+    if (needsRecord && routed->replicaGroup.size() < recordQuorum) {
+        this->outcomes.refuse(key, phase, Reason::NoSecondCopy, Duration::zero(), now);
+        return;
+    }
+    auto const place = [&](RequestQueue const &queue) {
+        return decidePlace(record->requestClass, record->deadline - now, queue,
+                           this->store.usage(record->target), routed->limits, this->store.times(), now);
+    };
+    PlaceDecision const outlook = place(this->store.queue(record->target));
+    bool const isLong = outlook.place != QueuePlace::Reserved || outlook.wait > this->store.times().spillWait;
+    if (isLong && this->spill(key, *record, now))
+        return;
+    PlaceDecision decision;
+    this->store.changeQueue(record->target, [&](RequestQueue queue) {
+        decision = place(queue);
+        return decision.place == QueuePlace::Reserved
+            ? withWaiting(std::move(queue), key, record->requestClass, now)
+            : queue;
+    });
+    if (decision.place != QueuePlace::Reserved)
+        this->refuseFull(key, phase, decision, now);
+    else if (needsRecord)
+        this->startRecording(key, phase, *routed, now);
+    else
+        this->enqueue(key, phase, record->target, now);
+}
+
+void RequestAdmission::refuseFull(RequestKey key, RequestPhase phase, PlaceDecision decision, Timestamp now)
+{
+    Reason const reason =
+        decision.place == QueuePlace::QueueFull ? Reason::QueueFull : Reason::DeadlineTooShort;
+    this->outcomes.refuse(key, phase, reason, decision.wait, now);
+}
+
+void RequestAdmission::enqueue(RequestKey key, RequestPhase phase, TargetId target, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != phase)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Queued;
+            next.phaseSince = now;
+            return next;
+        });
+    if (record)
+        this->runner.dispatch(target, now);
+}
+
+bool RequestAdmission::isInService(RoutedTarget const &target) const
+{
+    bool const isUsable = !target.dispatcher.isNone() && target.limits.slots > 0
+        && (target.record.state == TargetState::Starting || target.record.state == TargetState::Warm);
+    auto const configuration = this->store.board().configuration.read();
+    return isUsable
+        && std::ranges::none_of(configuration->manifest.failureDomains, [&](FailureDomain const &domain) {
+               return domain.name == target.record.failureDomain
+                   && domain.state == FailureDomainState::TakenOut;
+           });
+}
+
+bool RequestAdmission::spill(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    // A located request holds promises of the other instances for this dispatcher only.
+    bool const isPinned = record.idempotency == Idempotency::NonIdempotent && record.attempt > 1;
+    if (isPinned || record.hops >= this->store.times().maxSpillHops)
+        return false;
+    if (this->moveToOwnTarget(key, record, now))
+        return true;
+    auto const target = this->chooseSpillTarget(key, record);
+    if (!target)
+        return false;
+    auto const moved = this->markElsewhere(key, RequestPhase::Admitting, target->dispatcher,
+                                           ForwardPurpose::Spill, {target->record.id}, now);
+    if (!moved)
+        return true;
+    this->passOn(*moved, moved->caller, moved->hops,
+                 Request{.key = key,
+                         .attempt = moved->attempt,
+                         .requestClass = moved->requestClass,
+                         .idempotency = moved->idempotency,
+                         .timeLeft = moved->deadline - now,
+                         .payload = record.payload ? *record.payload : ""});
+    return true;
+}
+
+bool RequestAdmission::moveToOwnTarget(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    auto const view = this->store.view();
+    ServiceRoutes const *const routes = view->findService(key.service);
+    if (routes == nullptr)
+        return false;
+    InstanceId const self = this->store.self();
+    auto const hasRoom = [&](RoutedTarget const &target) {
+        return target.record.id != record.target && target.dispatcher == self && this->isInService(target)
+            && this->runner.obstacle(target.record.id, now) == Reason::None
+            && expectedWait(record.requestClass, this->store.queue(target.record.id),
+                            this->store.usage(target.record.id), target.limits, now)
+            == Duration::zero()
+            && mayTakeSlot(record.requestClass, this->store.usage(target.record.id), target.limits,
+                           this->store.queue(target.record.id), this->store.times(), now);
+    };
+    auto const found = std::ranges::find_if(routes->targets, hasRoom);
+    if (found == routes->targets.end() || !this->store.moveToTarget(key, found->record.id))
+        return false;
+    this->admit(key, RequestPhase::Admitting, now);
+    return true;
+}
+
+std::optional<RoutedTarget> RequestAdmission::chooseSpillTarget(RequestKey key,
+                                                                RequestRecord const &record) const
+{
+    auto const view = this->store.view();
+    ServiceRoutes const *const routes = view->findService(key.service);
+    if (routes == nullptr)
+        return std::nullopt;
+    InstanceId const self = this->store.self();
+    std::vector<RoutedTarget const *> candidates;
+    for (RoutedTarget const &target : routes->targets) {
+        if (target.record.id != record.target && target.dispatcher != self && this->isInService(target))
+            candidates.push_back(&target);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    return *candidates[this->random() % candidates.size()];
+}
+
+void RequestAdmission::startRecording(RequestKey key, RequestPhase phase, RoutedTarget const &target,
+                                      Timestamp now)
+{
+    std::uint64_t const recordId = this->random() | 1U; // Never zero, which stands for "not recorded".
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != phase)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Recording;
+            next.phaseSince = now;
+            next.lastSent = now;
+            next.recordId = recordId;
+            next.group = target.replicaGroup;
+            return next;
+        });
+    if (record)
+        this->sendRecords(key, *record, now);
+}
+
+RecordRequest RequestAdmission::recordMessage(RequestKey key, RequestRecord const &record,
+                                              Timestamp now) const
+{
+    return {.key = key,
+            .target = record.target,
+            .dispatcher = this->store.self(),
+            .tryId = record.recordId,
+            .keepFor = record.deadline - now + this->store.times().keepAfterDeadline};
+}
+
+void RequestAdmission::sendRecords(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    RecordRequest const message = this->recordMessage(key, record, now);
+    InstanceId const self = message.dispatcher;
+    for (InstanceId const member : record.group) {
+        if (member != self && std::ranges::find(record.storedBy, member) == record.storedBy.end())
+            this->outcomes.out().sendToInstance(member, message);
+    }
+    if (std::ranges::find(record.group, self) == record.group.end())
+        return;
+    RecordVerdict const verdict = this->replicas.record(message, now);
+    this->handleRecordReply(self, {.key = key, .tryId = record.recordId, .verdict = verdict}, now);
+}
+
+void RequestAdmission::handleRecordReply(InstanceId from, RecordReply const &reply, Timestamp now)
+{
+    if (reply.tryId == 0) { // The answer to a Locate; see handleLocate.
+        this->addAnswer(from, reply.key, &LocateProgress::unable, now);
+        return;
+    }
+    auto const isExpected = [&](RequestRecord const &current) {
+        return current.phase == RequestPhase::Recording && current.recordId == reply.tryId
+            && std::ranges::find(current.group, from) != current.group.end();
+    };
+    auto const record =
+        this->store.change(reply.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!isExpected(current) || reply.verdict == RecordVerdict::Refused)
+                return std::nullopt;
+            RequestRecord next = current;
+            // Another dispatcher may have run it. The records stored for this one stay: they keep others
+            // from running it, too.
+            if (reply.verdict == RecordVerdict::AlreadyRecorded)
+                return this->outcomes.finished(
+                    next, {.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost}, now);
+            if (std::ranges::find(next.storedBy, from) == next.storedBy.end())
+                next.storedBy.push_back(from);
+            if (next.storedBy.size() >= recordQuorum) {
+                next.phase = RequestPhase::Queued;
+                next.phaseSince = now;
+            }
+            return next;
+        });
+    if (!record)
+        return;
+    if (record->phase == RequestPhase::Finished)
+        this->outcomes.announce(reply.key, *record);
+    if (record->phase == RequestPhase::Queued)
+        this->runner.dispatch(record->target, now);
+}
+
+void RequestAdmission::giveUpRecording(RequestKey key, Timestamp now)
+{
+    if (this->outcomes.refuse(key, RequestPhase::Recording, Reason::NoSecondCopy, Duration::zero(), now))
+        this->outcomes.out().report(Event::RecordQuorumMissing,
+                                    fmt::format("caller {:x}, number {}", key.caller, key.number));
+}
+
+void RequestAdmission::takeStep(RequestKey key, RequestStep step, Timestamp now)
+{
+    auto const record = this->store.find(key);
+    if (!record)
+        return;
+    auto const markSent = [&] {
+        return this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (nextStep(current, this->store.times(), now) != step)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.lastSent = now;
+            return next;
+        });
+    };
+    switch (step) {
+    case RequestStep::RepeatLocate:
+        if (auto const current = markSent())
+            this->sendLocates(key, current->locate, current->locate.mustAnswer);
+        return;
+    case RequestStep::EndLocate:
+        this->concludeLocating(key, LocateResult::Incomplete, now);
+        return;
+    case RequestStep::RepeatRecord:
+        if (auto const current = markSent())
+            this->sendRecords(key, *current, now);
+        return;
+    case RequestStep::GiveUpRecording:
+        this->giveUpRecording(key, now);
+        return;
+    case RequestStep::RefuseExpired:
+        this->outcomes.refuse(key, record->phase, Reason::DeadlinePassed, Duration::zero(), now);
+        return;
+    default:
+        return;
+    }
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRequests/RequestStore.cpp
@@ -0,0 +1,273 @@
+// Implements the access to the request tables of the blackboard.
+
+#include <LibRequests/RequestStore.h>
+
+#include <LibRequests/QueuePolicy.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+bool belongsToWaiting(std::optional<RequestRecord> const &record)
+{
+    return record
+        && (record->phase == RequestPhase::Admitting || record->phase == RequestPhase::Recording
+            || record->phase == RequestPhase::Queued);
+}
+
+bool belongsToActive(std::optional<RequestRecord> const &record)
+{
+    return record
+        && (record->phase == RequestPhase::Locating || record->phase == RequestPhase::Running
+            || record->slot == SlotUse::Held);
+}
+
+BucketUse withBucket(BucketUse use, std::uint16_t bucket, int change)
+{
+    auto const place =
+        std::ranges::lower_bound(use.counts, bucket, {}, &std::pair<std::uint16_t, std::uint32_t>::first);
+    if (place == use.counts.end() || place->first != bucket) {
+        if (change > 0)
+            use.counts.insert(place, {bucket, 1});
+        return use;
+    }
+    place->second = change > 0 ? place->second + 1 : place->second - 1;
+    if (place->second == 0)
+        use.counts.erase(place);
+    return use;
+}
+
+} // namespace
+
+RequestStore::RequestStore(Blackboard &sharedState, RequestSettings const &settingsInUse,
+                           ExpirySchedule &expiry)
+    : blackboard(sharedState), settings(settingsInUse), schedule(expiry)
+{
+}
+
+std::optional<RequestRecord> RequestStore::find(RequestKey key) const
+{
+    auto found = this->blackboard.requests.read(key);
+    if (!found)
+        return std::nullopt;
+    return std::move(found->value);
+}
+
+WriteOutcome RequestStore::create(RequestKey key, RequestRecord const &record)
+{
+    auto const outcome = this->blackboard.requests.write(key, record, 0);
+    if (outcome == WriteOutcome::Written)
+        this->countBucket(key, record.target, +1);
+    return outcome;
+}
+
+std::optional<RequestRecord> RequestStore::change(RequestKey key, Decide const &decide)
+{
+    for (;;) {
+        auto const current = this->blackboard.requests.read(key);
+        if (!current)
+            return std::nullopt;
+        auto next = decide(current->value);
+        if (!next)
+            return std::nullopt;
+        if (this->blackboard.requests.write(key, *next, current->version) == WriteOutcome::Written)
+            return next;
+    }
+}
+
+std::optional<RequestRecord> RequestStore::moveToTarget(RequestKey key, TargetId target)
+{
+    TargetId former;
+    auto moved = this->change(key, [&](RequestRecord const &current) {
+        former = current.target;
+        RequestRecord next = current;
+        next.target = target;
+        return std::optional(next);
+    });
+    if (moved) {
+        this->countBucket(key, target, +1);
+        this->countBucket(key, former, -1);
+    }
+    return moved;
+}
+
+Timestamp RequestStore::keepUntil(RequestRecord const &record, Timestamp now) const
+{
+    return std::max(now + this->settings.keepAfterFinish, record.deadline + this->settings.keepAfterDeadline);
+}
+
+void RequestStore::fileForExpiry(RequestKey key, RequestRecord const &record)
+{
+    this->schedule.fileRequest(key, record.keepUntil);
+}
+
+void RequestStore::expire(std::vector<RequestKey> const &keys, Timestamp now)
+{
+    for (RequestKey const key : keys) {
+        auto const found = this->blackboard.requests.read(key);
+        if (!found)
+            continue;
+        RequestRecord const &record = found->value;
+        // The key was forgotten and has come again; it is filed once more when it ends.
+        if (record.phase != RequestPhase::Finished && record.phase != RequestPhase::Elsewhere)
+            continue;
+        if (now < record.keepUntil || record.slot == SlotUse::Held) {
+            this->schedule.fileRequest(key, std::max(record.keepUntil, now + 1s));
+            continue;
+        }
+        if (this->blackboard.requests.erase(key, found->version) != WriteOutcome::Written)
+            continue;
+        this->countBucket(key, record.target, -1);
+        if (record.answer)
+            this->returnAnswerBytes(record.answer->bytes);
+    }
+}
+
+RequestQueue RequestStore::queue(TargetId target) const
+{
+    auto found = this->blackboard.queues.read(target);
+    return found ? std::move(found->value) : RequestQueue{};
+}
+
+void RequestStore::changeQueue(TargetId target, DecideQueue const &decide)
+{
+    this->blackboard.queues.update(target, [&](std::optional<RequestQueue> const &current) {
+        return std::optional(decide(current.value_or(RequestQueue{})));
+    });
+}
+
+void RequestStore::tidyQueue(TargetId target)
+{
+    // The queue is read before the records: a key that another thread adds meanwhile changes the version of
+    // the queue, and the decision is made again.
+    this->blackboard.queues.update(
+        target, [&](std::optional<RequestQueue> const &current) -> std::optional<RequestQueue> {
+            if (!current)
+                return std::nullopt;
+            RequestQueue next = *current;
+            for (auto &waiting : next.waiting)
+                std::erase_if(waiting, [&](RequestKey key) { return !belongsToWaiting(this->find(key)); });
+            std::erase_if(next.active, [&](RequestKey key) { return !belongsToActive(this->find(key)); });
+            return next == *current ? std::nullopt : std::optional(next);
+        });
+}
+
+TargetUsage RequestStore::usage(TargetId target) const
+{
+    auto const found = this->blackboard.usage.read(target);
+    return found ? found->value : TargetUsage{};
+}
+
+bool RequestStore::takeSlot(TargetId target, RequestClass requestClass, TargetLimits limits,
+                            RequestQueue const &queue, Timestamp now)
+{
+    bool isTaken = false;
+    this->blackboard.usage.update(target, [&](std::optional<TargetUsage> const &current) {
+        auto next = almondwing::takeSlot(requestClass, current.value_or(TargetUsage{}), limits, queue,
+                                         this->settings, now);
+        isTaken = next.has_value();
+        return next;
+    });
+    return isTaken;
+}
+
+void RequestStore::releaseSlot(TargetId target)
+{
+    this->blackboard.usage.update(
+        target, [](std::optional<TargetUsage> const &current) -> std::optional<TargetUsage> {
+            // Another controller drops the usage of targets that it no longer knows.
+            if (!current || current->busySlots == 0)
+                return std::nullopt;
+            TargetUsage next = *current;
+            --next.busySlots;
+            return next;
+        });
+}
+
+void RequestStore::countEvent(TargetId target, SlotEvent event, Timestamp now)
+{
+    this->blackboard.usage.update(target, [&](std::optional<TargetUsage> const &current) {
+        TargetUsage next = current.value_or(TargetUsage{});
+        next.answered += event == SlotEvent::Answered || event == SlotEvent::SlowlyAnswered ? 1U : 0U;
+        next.slow += event == SlotEvent::SlowlyAnswered ? 1U : 0U;
+        next.shed += event == SlotEvent::Shed ? 1U : 0U;
+        next.timedOut += event == SlotEvent::TimedOut ? 1U : 0U;
+        if (event != SlotEvent::TimedOut)
+            next.lastHeard = std::max(next.lastHeard, now);
+        return std::optional(next);
+    });
+}
+
+bool RequestStore::reserveAnswerBytes(std::size_t bytes, Timestamp now)
+{
+    auto const tryReserve = [&] {
+        bool isReserved = false;
+        this->blackboard.keptAnswers.update([&](KeptAnswerTotal total) {
+            isReserved = total.bytes + bytes <= this->settings.keptAnswerBytes;
+            return KeptAnswerTotal{.bytes = total.bytes + (isReserved ? bytes : 0)};
+        });
+        return isReserved;
+    };
+    if (tryReserve())
+        return true;
+    this->evictUntil(bytes, now);
+    return tryReserve();
+}
+
+void RequestStore::returnAnswerBytes(std::size_t bytes)
+{
+    this->blackboard.keptAnswers.update([&](KeptAnswerTotal total) {
+        return KeptAnswerTotal{.bytes = total.bytes - std::min(bytes, total.bytes)};
+    });
+}
+
+void RequestStore::evictUntil(std::size_t bytes, Timestamp now)
+{
+    // A sixteenth more than needed, so that not every part of a long answer evicts again.
+    std::size_t const goal = this->settings.keptAnswerBytes - this->settings.keptAnswerBytes / 16;
+    auto const last = secondOf(now + this->settings.keepAfterFinish) + 1;
+    for (auto second = secondOf(now); second <= last; ++second) {
+        for (RequestKey const key : this->schedule.requestsExpiringIn(second)) {
+            if (this->blackboard.keptAnswers.read()->bytes + bytes <= goal)
+                return;
+            this->dropAnswer(key);
+        }
+    }
+}
+
+void RequestStore::dropAnswer(RequestKey key)
+{
+    auto const found = this->blackboard.requests.read(key);
+    if (!found || found->value.phase != RequestPhase::Finished || !found->value.answer)
+        return;
+    RequestRecord const &record = found->value;
+    // An idempotent request is forgotten, so that a resend runs it again. A non-idempotent one stays known
+    // without its answer, and a resend is told that the outcome is unknown.
+    bool const isForgotten = record.idempotency == Idempotency::Idempotent && record.slot == SlotUse::None;
+    RequestRecord next = record;
+    next.answer = nullptr;
+    auto const outcome = isForgotten ? this->blackboard.requests.erase(key, found->version)
+                                     : this->blackboard.requests.write(key, next, found->version);
+    if (outcome != WriteOutcome::Written)
+        return;
+    if (isForgotten)
+        this->countBucket(key, record.target, -1);
+    this->returnAnswerBytes(record.answer->bytes);
+}
+
+InstanceId RequestStore::self() const
+{
+    return this->blackboard.ownStatus.read()->self.id;
+}
+
+void RequestStore::countBucket(RequestKey key, TargetId target, int change)
+{
+    std::uint16_t const bucket = bucketOf(std::hash<RequestKey>{}(key));
+    this->blackboard.requestBuckets.update(target, [&](std::optional<BucketUse> const &current) {
+        return std::optional(withBucket(current.value_or(BucketUse{}), bucket, change));
+    });
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -0,0 +1,436 @@
+// Implements the tries at targets.
+
+#include <LibRequests/TryRunner.h>
+
+#include <LibRequests/AnswerAssembly.h>
+#include <LibRequests/QueuePolicy.h>
+#include <LibRequests/RetryPolicy.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+TryRunner::TryRunner(RequestStore &requestStore, RequestOutcomes &finalOutcomes,
+                     RandomSource const &randomSource)
+    : store(requestStore), outcomes(finalOutcomes), random(randomSource)
+{
+}
+
+Reason TryRunner::obstacle(TargetId target, Timestamp now) const
+{
+    auto const status = this->store.board().ownStatus.read();
+    if (status->lease != LeaseState::Held)
+        return Reason::LeaseExpired;
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(target);
+    if (routed == nullptr
+        || (routed->record.state != TargetState::Starting && routed->record.state != TargetState::Warm))
+        return Reason::NoTarget;
+    if (routed->dispatcher == status->self.id)
+        return Reason::None;
+    // The successor counts all slots as busy for longer than this, so both together stay within the limit.
+    auto const lostAt = this->store.queue(target).dispatchLostAt;
+    bool const isHandover = !lostAt || now - *lostAt < this->store.times().dispatchHandover;
+    return isHandover ? Reason::None : Reason::LeaseExpired;
+}
+
+void TryRunner::dispatch(TargetId target, Timestamp now)
+{
+    auto const isReadyHere = [&](RequestKey key) { return this->isReady(key, target, now); };
+    while (this->obstacle(target, now) == Reason::None) {
+        auto const view = this->store.view();
+        RoutedTarget const *const routed = view->findTarget(target);
+        if (routed == nullptr)
+            return;
+        RequestQueue const queue = this->store.queue(target);
+        auto const key = nextToStart(queue, isReadyHere, this->store.usage(target), routed->limits,
+                                     this->store.times(), now);
+        auto const record = key ? this->store.find(*key) : std::nullopt;
+        if (!record || !this->store.takeSlot(target, record->requestClass, routed->limits, queue, now))
+            return;
+        if (!this->startTry(*key, *routed, now))
+            this->store.releaseSlot(target);
+    }
+}
+
+bool TryRunner::isReady(RequestKey key, TargetId target, Timestamp now) const
+{
+    auto const record = this->store.find(key);
+    if (!record || record->phase != RequestPhase::Queued || record->target != target
+        || record->notBefore > now || record->deadline <= now)
+        return false;
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(target);
+    if (routed == nullptr || routed->dispatcher == this->store.self())
+        return true;
+    // The successor stops counting the slots of this instance after `slotGrace`; its view may have changed
+    // earlier than the one here.
+    auto const &times = this->store.times();
+    Timestamp const lostAt = this->store.queue(target).dispatchLostAt.value_or(now);
+    return record->deadline <= lostAt + times.slotGrace - times.pauseTolerance;
+}
+
+bool TryRunner::startTry(RequestKey key, RoutedTarget const &target, Timestamp now)
+{
+    std::uint64_t const tryId = this->random() | 1U; // Never zero, which stands for "no try".
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Queued || current.target != target.record.id)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Running;
+            next.phaseSince = now;
+            next.tryId = tryId;
+            next.tries = current.tries + 1;
+            next.progress = TryProgress::Sent;
+            next.slot = SlotUse::Held;
+            next.targetEndpoint = target.record.packetEndpoint;
+            next.startMark = target.record.startMark;
+            next.startedAt = now;
+            next.lastSent = now;
+            next.lastHeard = now;
+            return next;
+        });
+    if (!record)
+        return false;
+    this->store.changeQueue(record->target, [&](RequestQueue queue) {
+        return withActive(withoutWaiting(std::move(queue), key), key);
+    });
+    this->sendRun(key, *record, now);
+    return true;
+}
+
+void TryRunner::sendRun(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    this->outcomes.out().sendToTarget(record.targetEndpoint,
+                                      RunRequest{.key = key,
+                                                 .tryId = record.tryId,
+                                                 .requestClass = record.requestClass,
+                                                 .idempotency = record.idempotency,
+                                                 .timeLeft = record.deadline - now,
+                                                 .payload = record.payload ? *record.payload : ""});
+}
+
+void TryRunner::sendCancel(RequestKey key, RequestRecord const &record)
+{
+    this->outcomes.out().sendToTarget(record.targetEndpoint,
+                                      CancelRequest{.key = key, .tryId = record.tryId});
+}
+
+bool TryRunner::isOfPresentTry(RequestRecord const &record, Endpoint from, std::uint64_t tryId) const
+{
+    return record.tryId != 0 && record.tryId == tryId && record.targetEndpoint == from
+        && (record.phase == RequestPhase::Running || record.slot == SlotUse::Held);
+}
+
+void TryRunner::handleStarted(Endpoint from, RequestStarted const &message, Timestamp now)
+{
+    auto const record =
+        this->store.change(message.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!this->isOfPresentTry(current, from, message.tryId))
+                return std::nullopt;
+            RequestRecord next = current;
+            next.progress = TryProgress::Started;
+            next.lastHeard = now;
+            return next;
+        });
+    if (record)
+        this->store.countEvent(record->target, SlotEvent::None, now);
+}
+
+std::optional<Timestamp> TryRunner::planRetry(RequestRecord const &record, RequestKey key,
+                                              Duration retryAfter, Timestamp now)
+{
+    auto const time = retryTime(record, retryAfter, this->store.times(), now);
+    if (!time || record.phase != RequestPhase::Running || record.progress != TryProgress::Sent)
+        return std::nullopt;
+    if (now - record.startedAt >= this->store.times().targetRestartTime)
+        return std::nullopt;
+    bool isSpent = false;
+    this->store.board().retryBudgets.update(key.service, [&](std::optional<RetryBudget> const &current) {
+        auto next = spendRetry(current.value_or(RetryBudget{}));
+        isSpent = next.has_value();
+        return next;
+    });
+    return isSpent ? time : std::nullopt;
+}
+
+RequestRecord TryRunner::afterShed(RequestRecord const &record, std::optional<Timestamp> retryAt,
+                                   Duration retryAfter, Timestamp now) const
+{
+    RequestRecord next = record;
+    next.slot = SlotUse::None;
+    next.lastHeard = now;
+    if (record.phase != RequestPhase::Running)
+        return next;
+    bool const isCancelled = record.cancelReason != Reason::None;
+    Reason const reason = isCancelled ? record.cancelReason : Reason::TargetShed;
+    // A target that has reported the start and then sheds has cut the try short: part of it may have run.
+    bool const mayBeNewProcess = record.idempotency == Idempotency::NonIdempotent
+        && now - record.startedAt >= this->store.times().targetRestartTime;
+    if (record.progress == TryProgress::Started || mayBeNewProcess)
+        return this->outcomes.finished(next, {.outcome = RequestOutcome::Unknown, .reason = reason}, now);
+    if (!retryAt) {
+        FinalOutcome const refusal{
+            .outcome = RequestOutcome::NotRun, .reason = reason, .retryAfter = retryAfter};
+        return this->outcomes.finished(next, refusal, now);
+    }
+    // The record in the replica group stays under the same record id: it keeps other dispatchers away for
+    // as long as this one has not answered, whichever try is under way.
+    next.phase = RequestPhase::Queued;
+    next.phaseSince = now;
+    next.notBefore = *retryAt;
+    return next;
+}
+
+void TryRunner::handleShed(Endpoint from, Shed const &message, Timestamp now)
+{
+    auto const before = this->store.find(message.key);
+    if (!before || !this->isOfPresentTry(*before, from, message.tryId))
+        return;
+    auto const retryAt = this->planRetry(*before, message.key, message.retryAfter, now);
+    SlotUse slotBefore = SlotUse::None;
+    RequestPhase phaseBefore = RequestPhase::Finished;
+    auto const record =
+        this->store.change(message.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!this->isOfPresentTry(current, from, message.tryId))
+                return std::nullopt;
+            slotBefore = current.slot;
+            phaseBefore = current.phase;
+            return this->afterShed(current, retryAt, message.retryAfter, now);
+        });
+    if (!record)
+        return;
+    this->store.countEvent(record->target, SlotEvent::Shed, now);
+    if (record->phase == RequestPhase::Queued)
+        this->moveToWaiting(message.key, *record);
+    else if (phaseBefore == RequestPhase::Running)
+        this->outcomes.announce(message.key, *record);
+    if (slotBefore == SlotUse::Held)
+        this->freeSlotOf(message.key, *record, now);
+}
+
+void TryRunner::moveToWaiting(RequestKey key, RequestRecord const &record)
+{
+    this->store.changeQueue(record.target, [&](RequestQueue queue) {
+        queue = withoutActive(std::move(queue), key);
+        auto &waiting = queue.waiting[static_cast<std::size_t>(record.requestClass)];
+        // A retry has waited before, so it goes to the front.
+        if (std::ranges::find(waiting, key) == waiting.end())
+            waiting.insert(waiting.begin(), key);
+        return queue;
+    });
+}
+
+void TryRunner::handlePart(Endpoint from, AnswerPart const &part, Timestamp now)
+{
+    if (!this->store.reserveAnswerBytes(part.payload.size(), now)) {
+        this->outcomes.out().report(Event::AnswerMemoryFull, fmt::format("{} bytes", part.payload.size()));
+        return;
+    }
+    PartFate fate = PartFate::Inconsistent;
+    SlotUse slotBefore = SlotUse::None;
+    RequestPhase phaseBefore = RequestPhase::Finished;
+    auto const record =
+        this->store.change(part.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            fate = PartFate::Inconsistent;
+            if (!this->isOfPresentTry(current, from, part.tryId))
+                return std::nullopt;
+            slotBefore = current.slot;
+            phaseBefore = current.phase;
+            RequestRecord next = current;
+            next.progress = TryProgress::Started;
+            next.lastHeard = now;
+            if (part.position == PartPosition::Last)
+                next.slot = SlotUse::None;
+            if (current.phase != RequestPhase::Running)
+                return next;
+            auto const added = addPart(current.answer, part, this->store.times().answerBytes);
+            fate = added.fate;
+            next.answer = added.answer;
+            bool const isComplete = next.answer && next.answer->isComplete();
+            return isComplete ? this->outcomes.finished(next, {.outcome = RequestOutcome::Answered}, now)
+                              : next;
+        });
+    if (!record || fate != PartFate::Added)
+        this->store.returnAnswerBytes(part.payload.size());
+    if (!record || (fate == PartFate::Inconsistent && phaseBefore == RequestPhase::Running))
+        this->dropPart(part);
+    if (!record)
+        return;
+    if (fate == PartFate::Added)
+        this->outcomes.sendPart(part.key, *record, part.part);
+    if (phaseBefore == RequestPhase::Running && record->phase == RequestPhase::Finished)
+        this->finishAnswer(part.key, *record, now);
+    if (slotBefore == SlotUse::Held && record->slot == SlotUse::None)
+        this->freeSlotOf(part.key, *record, now);
+}
+
+void TryRunner::finishAnswer(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    Duration const serviceTime = now - record.startedAt;
+    bool const isSlow =
+        record.requestClass != RequestClass::Bulk && serviceTime > this->store.times().slowAnswer;
+    this->store.countEvent(record.target, isSlow ? SlotEvent::SlowlyAnswered : SlotEvent::Answered, now);
+    this->store.changeQueue(record.target, [&](RequestQueue queue) {
+        return withServiceTime(std::move(queue), record.requestClass, serviceTime, now);
+    });
+    this->outcomes.announce(key, record);
+}
+
+void TryRunner::dropPart(AnswerPart const &part)
+{
+    // Late copies of parts of the try that answered are normal.
+    auto const record = this->store.find(part.key);
+    if (record && record->phase == RequestPhase::Finished && record->tryId == part.tryId)
+        return;
+    this->outcomes.out().report(Event::ForeignAnswerDropped,
+                                fmt::format("caller {:x}, number {}, try {:x}, part {}", part.key.caller,
+                                            part.key.number, part.tryId, part.part));
+}
+
+void TryRunner::cancel(RequestKey key, Reason reason, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Running || current.cancelReason != Reason::None)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.cancelReason = reason;
+            next.cancelledAt = now;
+            next.lastSent = now;
+            return next;
+        });
+    if (record)
+        this->sendCancel(key, *record);
+}
+
+void TryRunner::takeStep(RequestKey key, RequestStep step, Timestamp now)
+{
+    switch (step) {
+    case RequestStep::RepeatRun:
+        this->repeatRun(key, step, now);
+        return;
+    case RequestStep::AskForParts:
+        this->askForParts(key, step, now);
+        return;
+    case RequestStep::CancelOverdue:
+        this->cancel(key, Reason::DeadlinePassed, now);
+        return;
+    case RequestStep::RepeatCancel:
+        if (auto const record = this->markSent(key, step, now))
+            this->sendCancel(key, *record);
+        return;
+    case RequestStep::GiveUpTry:
+        this->giveUpTry(key, now);
+        return;
+    case RequestStep::FreeSlot:
+        this->freeSlot(key, step, now);
+        return;
+    default:
+        return;
+    }
+}
+
+std::optional<RequestRecord> TryRunner::markSent(RequestKey key, RequestStep step, Timestamp now)
+{
+    return this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+        if (nextStep(current, this->store.times(), now) != step)
+            return std::nullopt;
+        RequestRecord next = current;
+        next.lastSent = now;
+        return next;
+    });
+}
+
+void TryRunner::repeatRun(RequestKey key, RequestStep step, Timestamp now)
+{
+    if (auto const record = this->markSent(key, step, now))
+        this->sendRun(key, *record, now);
+}
+
+void TryRunner::askForParts(RequestKey key, RequestStep step, Timestamp now)
+{
+    auto const record = this->markSent(key, step, now);
+    if (!record)
+        return;
+    this->outcomes.out().sendToTarget(
+        record->targetEndpoint,
+        ResendParts{.key = key, .tryId = record->tryId, .parts = partsToAskFor(record->answer.get())});
+}
+
+void TryRunner::giveUpTry(RequestKey key, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (nextStep(current, this->store.times(), now) != RequestStep::GiveUpTry)
+                return std::nullopt;
+            // The target may have run it, or may still run it, so it is never NotRun.
+            return this->outcomes.finished(
+                current, {.outcome = RequestOutcome::Unknown, .reason = current.cancelReason}, now);
+        });
+    if (!record)
+        return;
+    this->store.countEvent(record->target, SlotEvent::TimedOut, now);
+    this->outcomes.out().report(Event::TryOverdue, fmt::format("target {:x}", record->target.value));
+    this->outcomes.announce(key, *record);
+}
+
+void TryRunner::freeSlot(RequestKey key, RequestStep step, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (nextStep(current, this->store.times(), now) != step)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.slot = SlotUse::None;
+            return next;
+        });
+    if (!record)
+        return;
+    this->outcomes.out().report(Event::SlotConfirmationMissing,
+                                fmt::format("target {:x}", record->target.value));
+    this->freeSlotOf(key, *record, now);
+}
+
+void TryRunner::freeSlotOf(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    if (record.phase == RequestPhase::Finished)
+        this->store.changeQueue(record.target,
+                                [&](RequestQueue queue) { return withoutActive(std::move(queue), key); });
+    this->store.releaseSlot(record.target);
+    this->dispatch(record.target, now);
+}
+
+void TryRunner::checkTargetProcess(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(record.target);
+    if (record.phase != RequestPhase::Running || routed == nullptr
+        || routed->record.startMark == record.startMark)
+        return;
+    bool isEnded = false;
+    auto const changed =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Running || current.tryId != record.tryId)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.startMark = routed->record.startMark;
+            // The repeats go on and start it at the new process; running twice does no harm.
+            isEnded =
+                current.idempotency == Idempotency::NonIdempotent || current.progress == TryProgress::Started;
+            if (!isEnded)
+                return next;
+            return this->outcomes.finished(
+                next, {.outcome = RequestOutcome::Unknown, .reason = Reason::TargetLost}, now);
+        });
+    if (!changed || !isEnded)
+        return;
+    this->outcomes.out().report(Event::TargetRestartedUnderTry,
+                                fmt::format("target {:x}", changed->target.value));
+    this->outcomes.announce(key, *changed);
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -0,0 +1,613 @@
+// Implements the fake cluster.
+
+#include "FakeCluster.h"
+
+#include <LibState/Rendezvous.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Duration tickInterval = 20ms;
+constexpr Duration detectionTime = 3s;
+constexpr Duration callerResendInterval = 400ms;
+constexpr Duration targetRestartTime = 1200ms; // Longer than RunRequest is repeated; see RequestSettings.
+constexpr Endpoint callerEndpoint{.address = 0x7f000001, .port = 9};
+
+std::uint32_t partCount(RequestKey key)
+{
+    return 1 + static_cast<std::uint32_t>(key.number % 4);
+}
+
+} // namespace
+
+FakeCluster::FakeCluster(std::uint64_t seed, FaultRates faultRates,
+                         std::vector<std::size_t> instancesPerDomain, RequestSettings settingsInUse)
+    : engine(seed), faults(faultRates), settings(settingsInUse)
+{
+    for (std::size_t domain = 0; domain < instancesPerDomain.size(); ++domain) {
+        std::string const domainName = fmt::format("domain-{}", domain);
+        this->targets.push_back(
+            {.id = TargetId{domain + 1},
+             .endpoint = {.address = 0x7f000001, .port = static_cast<std::uint16_t>(1000 + domain)},
+             .domain = domainName});
+        for (std::size_t index = 0; index < instancesPerDomain[domain]; ++index)
+            this->instances.push_back(
+                {.id = InstanceId::fromName(fmt::format("{}-{}", domainName, index)), .domain = domainName});
+    }
+    // Long before the first request, so that every instance vouches for its memory.
+    this->settings.startedAt = this->now - 900s;
+    for (FakeInstance &instance : this->instances)
+        this->start(instance);
+    for (std::size_t index = 0; index < this->instances.size(); ++index)
+        this->applyView(index);
+}
+
+void FakeCluster::start(FakeInstance &instance)
+{
+    instance.board = std::make_unique<Blackboard>();
+    ++instance.incarnation;
+    instance.isAlive = true;
+    instance.dispatched.clear();
+    instance.board->ownStatus.update([&](OwnStatus status) {
+        status.self.id = instance.id;
+        status.lease = LeaseState::Held;
+        return status;
+    });
+    InstanceId const self = instance.id;
+    unsigned const incarnation = instance.incarnation;
+    Outbox outbox;
+    outbox.sendToCaller = [this, self, incarnation](Endpoint, CallerReply const &reply) {
+        this->transmit([=, this] { this->handleCallerReply(this->find(self), incarnation, reply); });
+    };
+    outbox.sendToTarget = [this, self](Endpoint endpoint, TargetCommand const &command) {
+        auto const target = std::ranges::find(this->targets, endpoint, &FakeTarget::endpoint);
+        auto const index = static_cast<std::size_t>(target - this->targets.begin());
+        this->transmit([=, this] { this->handleTargetCommand(this->targets[index], self, command); });
+    };
+    outbox.sendToInstance = [this, self](InstanceId to, PeerMessage const &message) {
+        auto const source = static_cast<std::size_t>(&this->find(self) - this->instances.data());
+        auto const index = static_cast<std::size_t>(&this->find(to) - this->instances.data());
+        if (this->cutOff.contains(source) || this->cutOff.contains(index))
+            return;
+        this->transmit([=, this] {
+            this->deliver(index, [=, this] { this->handlePeer(this->instances[index], self, message); });
+        });
+    };
+    outbox.report = [](Event, std::string const &) {};
+    RequestSettings own = this->settings;
+    if (instance.incarnation > 1)
+        own.startedAt = this->now;
+    instance.controller =
+        std::make_unique<RequestController>(*instance.board, own, outbox, [this] { return this->engine(); });
+    this->after(tickInterval, [=, this] { this->tickRepeatedly(self, incarnation); });
+}
+
+void FakeCluster::tickRepeatedly(InstanceId id, unsigned incarnation)
+{
+    FakeInstance &instance = this->find(id);
+    if (!instance.isAlive || instance.incarnation != incarnation)
+        return;
+    if (!instance.isFrozen) {
+        instance.controller->tick(this->now);
+        while (instance.controller->sendNextBulkPart(this->now) == this->now) { }
+    }
+    this->after(tickInterval, [=, this] { this->tickRepeatedly(id, incarnation); });
+}
+
+void FakeCluster::after(Duration delay, std::function<void()> action)
+{
+    this->events.emplace(this->now + delay, std::move(action));
+}
+
+void FakeCluster::run(Duration duration)
+{
+    Timestamp const end = this->now + duration;
+    while (!this->events.empty() && this->events.begin()->first <= end) {
+        auto const first = this->events.begin();
+        this->now = first->first;
+        auto const action = std::move(first->second);
+        this->events.erase(first);
+        action();
+    }
+    this->now = end;
+}
+
+void FakeCluster::transmit(std::function<void()> deliver)
+{
+    if (this->pick(100) < this->faults.lostPercent)
+        return;
+    auto const delay = [this] {
+        return 1ms + Duration(this->pick(static_cast<std::uint64_t>(this->faults.maxDelay.count())));
+    };
+    if (this->pick(100) < this->faults.repeatedPercent)
+        this->after(delay(), deliver);
+    this->after(delay(), std::move(deliver));
+}
+
+void FakeCluster::deliver(std::size_t index, std::function<void()> handle)
+{
+    FakeInstance &instance = this->instances[index];
+    if (!instance.isAlive)
+        return;
+    if (instance.isFrozen)
+        instance.inbox.push_back(std::move(handle));
+    else
+        handle();
+}
+
+FakeInstance &FakeCluster::find(InstanceId id)
+{
+    return *std::ranges::find(this->instances, id, &FakeInstance::id);
+}
+
+void FakeCluster::refreshViews()
+{
+    for (std::size_t index = 0; index < this->instances.size(); ++index) {
+        Duration const delay{this->pick(static_cast<std::uint64_t>(this->faults.maxViewDelay.count()) + 1)};
+        this->after(delay,
+                    [this, index] { this->deliver(index, [this, index] { this->applyView(index); }); });
+    }
+}
+
+RoutingView FakeCluster::buildView(FakeInstance const &instance) const
+{
+    std::vector<MemberRecord> members;
+    for (FakeInstance const &known : this->instances) {
+        bool const isDead = known.isDeclaredDead;
+        members.push_back({.id = known.id,
+                           .name = {},
+                           .failureDomain = known.domain,
+                           .peerEndpoint = {},
+                           .httpEndpoint = {},
+                           .state = isDead ? MemberState::Dead : MemberState::Alive});
+        instance.board->members.update(known.id, [&](auto const &) { return std::optional(members.back()); });
+    }
+    auto routes = std::make_shared<ServiceRoutes>();
+    auto const former = instance.board->routingView.read();
+    ServiceRoutes const *const before = former->findService(this->service);
+    routes->id = this->service;
+    RoutingView view;
+    for (FakeTarget const &target : this->targets) {
+        RoutedTarget routed;
+        routed.record = {.id = target.id,
+                         .name = {},
+                         .service = this->service,
+                         .failureDomain = target.domain,
+                         .packetEndpoint = target.endpoint,
+                         .httpEndpoint = {},
+                         .startMark = target.startMark,
+                         .state = target.state,
+                         .sequence = {}};
+        routed.limits = routed.fullLimits = {.slots = target.slots, .connections = 0};
+        routed.dispatcher = chooseDispatcher(target.id, target.domain, members);
+        routed.replicaGroup = chooseReplicaGroup(target.id, target.domain, members);
+        routes->targets.push_back(routed);
+        view.serviceOfTarget[target.id] = this->service;
+    }
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        routes->buckets[bucket] =
+            static_cast<std::uint16_t>((bucket + (this->areBucketsMoved ? 1 : 0)) % this->targets.size());
+        bool const isChanged = before != nullptr && before->buckets[bucket] != routes->buckets[bucket];
+        routes->changedAt[bucket] =
+            isChanged ? this->now : (before != nullptr ? before->changedAt[bucket] : this->now - 100s);
+    }
+    view.services[this->service] = routes;
+    return view;
+}
+
+void FakeCluster::applyView(std::size_t index)
+{
+    FakeInstance &instance = this->instances[index];
+    // Nothing ran before the first dispatchers, so they inherit nothing.
+    bool const isFirst = instance.board->routingView.read()->services.empty() && instance.incarnation == 1;
+    auto const view = this->buildView(instance);
+    instance.board->routingView.update([&](RoutingView const &) { return RoutingView(view); });
+    for (RoutedTarget const &target : view.services.at(this->service)->targets) {
+        bool const isOwn = target.dispatcher == instance.id;
+        bool const isNew = isOwn && !instance.dispatched.contains(target.record.id);
+        if (isNew && !isFirst)
+            instance.controller->handleTakeover(target.record.id, this->now);
+        if (isOwn)
+            instance.dispatched.insert(target.record.id);
+        else
+            instance.dispatched.erase(target.record.id);
+    }
+}
+
+void FakeCluster::shareClaims()
+{
+    for (FakeInstance const &owner : this->instances) {
+        if (!owner.isAlive || owner.isFrozen)
+            continue;
+        auto const view = owner.board->routingView.read();
+        ServiceRoutes const &routes = *view->findService(this->service);
+        for (std::size_t index = 0; index < routes.targets.size(); ++index) {
+            TargetId const target = routes.targets[index].record.id;
+            if (routes.targets[index].dispatcher != owner.id)
+                continue;
+            ClaimUpdate claim{.target = target, .service = this->service, .sequence = {}, .buckets = {}};
+            for (std::uint16_t const bucket : owner.controller->bucketsInUse(target)) {
+                if (routes.buckets[bucket] != index)
+                    claim.buckets.push_back(bucket);
+            }
+            for (FakeInstance const &peer : this->instances) {
+                if (peer.isAlive)
+                    peer.board->claims.update(target, [&](auto const &) { return std::optional(claim); });
+            }
+        }
+    }
+}
+
+void FakeCluster::route(FakeInstance &at, Forwarded forwarded)
+{
+    auto const view = at.board->routingView.read();
+    Request const *const request = std::get_if<Request>(&forwarded.message);
+    if (request == nullptr)
+        return;
+    bool const isSearch = forwarded.purpose == ForwardPurpose::Search;
+    if (isSearch && !at.controller->isKnown(request->key)) {
+        this->passToCandidate(at, std::move(forwarded));
+        return;
+    }
+    TargetId const target = forwarded.candidates.empty() ? TargetId{} : forwarded.candidates.front();
+    RoutedTarget const *const routed = view->findTarget(target);
+    bool const isHandledHere = isSearch || forwarded.purpose == ForwardPurpose::SearchEnded
+        || (routed != nullptr && routed->dispatcher == at.id);
+    if (isHandledHere)
+        at.controller->handleRequest(forwarded.caller, *request, target, forwarded.purpose, forwarded.hops,
+                                     this->now);
+    else if (routed != nullptr && !routed->dispatcher.isNone() && forwarded.hops < 6) {
+        ++forwarded.hops;
+        InstanceId const to = routed->dispatcher;
+        this->transmit([=, this] {
+            auto const index = static_cast<std::size_t>(&this->find(to) - this->instances.data());
+            this->deliver(index, [=, this] { this->route(this->instances[index], forwarded); });
+        });
+    }
+}
+
+void FakeCluster::passToCandidate(FakeInstance &at, Forwarded forwarded)
+{
+    auto const view = at.board->routingView.read();
+    if (!forwarded.candidates.empty())
+        forwarded.candidates.erase(forwarded.candidates.begin());
+    RoutedTarget const *const routed =
+        forwarded.candidates.empty() ? nullptr : view->findTarget(forwarded.candidates.front());
+    InstanceId const to = routed != nullptr ? routed->dispatcher : forwarded.origin;
+    if (routed == nullptr)
+        forwarded.purpose = ForwardPurpose::SearchEnded;
+    if (to.isNone() || forwarded.hops > 6)
+        return;
+    ++forwarded.hops;
+    this->transmit([=, this] {
+        auto const index = static_cast<std::size_t>(&this->find(to) - this->instances.data());
+        this->deliver(index, [=, this] { this->route(this->instances[index], forwarded); });
+    });
+}
+
+void FakeCluster::handlePeer(FakeInstance &at, InstanceId from, PeerMessage const &message)
+{
+    if (auto const *const forwarded = std::get_if<Forwarded>(&message))
+        this->route(at, *forwarded);
+    else if (auto const *const record = std::get_if<RecordRequest>(&message))
+        at.controller->handlePeerMessage(from, *record, this->now);
+    else if (auto const *const reply = std::get_if<RecordReply>(&message))
+        at.controller->handlePeerMessage(from, *reply, this->now);
+    else if (auto const *const release = std::get_if<RecordRelease>(&message))
+        at.controller->handlePeerMessage(from, *release, this->now);
+    else if (auto const *const locate = std::get_if<Locate>(&message))
+        at.controller->handlePeerMessage(from, *locate, this->now);
+    else if (auto const *const located = std::get_if<LocateReply>(&message))
+        at.controller->handlePeerMessage(from, *located, this->now);
+}
+
+RequestKey FakeCluster::send(RequestClass requestClass, Idempotency idempotency, Duration timeLeft)
+{
+    RequestKey const key{.service = this->service, .caller = this->engine(), .number = ++this->lastNumber};
+    this->callers[key] = {.request = {.key = key,
+                                      .attempt = 1,
+                                      .requestClass = requestClass,
+                                      .idempotency = idempotency,
+                                      .timeLeft = timeLeft,
+                                      .payload = fmt::format("{}", key.number)},
+                          .deadline = this->now + timeLeft};
+    this->resendUntilOutcome(key, 1);
+    return key;
+}
+
+void FakeCluster::resendUntilOutcome(RequestKey key, std::uint32_t attempt)
+{
+    FakeCaller const &caller = this->callers[key];
+    if (caller.outcome != RequestOutcome::None || this->now > caller.deadline + 2s)
+        return;
+    this->sendOnce(key, attempt);
+    this->after(callerResendInterval, [this, key, attempt] { this->resendUntilOutcome(key, attempt + 1); });
+}
+
+void FakeCluster::sendOnce(RequestKey key, std::uint32_t attempt)
+{
+    FakeCaller &caller = this->callers[key];
+    Request request = caller.request;
+    request.attempt = attempt;
+    request.timeLeft = caller.deadline - this->now;
+    std::size_t entry = this->pick(this->instances.size());
+    // The fabric sends to instances that are up; a frozen one looks so to it.
+    while (std::ranges::any_of(this->instances, &FakeInstance::isAlive) && !this->instances[entry].isAlive)
+        entry = this->pick(this->instances.size());
+    this->transmit([=, this] {
+        this->deliver(entry, [=, this] {
+            FakeInstance &at = this->instances[entry];
+            auto const view = at.board->routingView.read();
+            ServiceRoutes const &routes = *view->findService(this->service);
+            std::uint16_t const bucket = bucketOf(std::hash<RequestKey>{}(key));
+            TargetId const target = routes.targets[routes.buckets[bucket]].record.id;
+            this->route(
+                at, {.caller = callerEndpoint, .origin = at.id, .candidates = {target}, .message = request});
+        });
+    });
+}
+
+void FakeCluster::handleCallerReply(FakeInstance const &from, unsigned incarnation, CallerReply const &reply)
+{
+    auto const note = [&](FakeCaller &caller, RequestOutcome outcome, Reason reason) {
+        if (caller.outcome != RequestOutcome::None)
+            return;
+        caller.outcome = outcome;
+        caller.reason = reason;
+    };
+    if (auto const *const refusal = std::get_if<NotRun>(&reply)) {
+        FakeCaller &caller = this->callers[refusal->key];
+        caller.refusedBy.insert({from.id, incarnation});
+        note(caller, RequestOutcome::NotRun, refusal->reason);
+    } else if (auto const *const unknown = std::get_if<OutcomeUnknown>(&reply)) {
+        note(this->callers[unknown->key], RequestOutcome::Unknown, unknown->reason);
+    } else if (auto const *const part = std::get_if<AnswerPart>(&reply)) {
+        FakeCaller &caller = this->callers[part->key];
+        if (caller.refusedBy.contains({from.id, incarnation}))
+            this->violations.emplace_back("an instance answered a request that it had refused");
+        if (part->payload != answerText(part->key, part->tryId, part->part))
+            this->violations.emplace_back("a caller got a part that is not its own");
+        auto &parts = caller.parts[part->tryId];
+        parts[part->part] = *part;
+        auto const &last = parts.rbegin()->second;
+        if (last.position != PartPosition::Last || parts.size() != last.part + std::size_t{1})
+            return;
+        if (parts.size() != partCount(part->key))
+            this->violations.emplace_back("an incomplete answer looked complete");
+        note(caller, RequestOutcome::Answered, Reason::None);
+    }
+}
+
+std::string FakeCluster::answerText(RequestKey key, std::uint64_t tryId, std::uint32_t part)
+{
+    return fmt::format("{:x}/{}/{:x}/{}", key.caller, key.number, tryId, part);
+}
+
+void FakeCluster::handleTargetCommand(FakeTarget &target, InstanceId from, TargetCommand const &command)
+{
+    if (!target.isUp)
+        return;
+    if (auto const *const run = std::get_if<RunRequest>(&command)) {
+        this->runTry(target, from, *run);
+    } else if (auto const *const cancel = std::get_if<CancelRequest>(&command)) {
+        auto const known = target.tries.try_emplace({cancel->key, cancel->tryId}, FakeTarget::TryState::Shed);
+        if (known.first->second == FakeTarget::TryState::Shed)
+            this->toInstance(target, from, Shed{.key = cancel->key, .tryId = cancel->tryId});
+    } else if (auto const *const resend = std::get_if<ResendParts>(&command)) {
+        auto const known = target.tries.find({resend->key, resend->tryId});
+        if (known != target.tries.end() && known->second == FakeTarget::TryState::Answered)
+            this->sendAnswer(target, from, resend->key, resend->tryId, resend->parts);
+    }
+}
+
+void FakeCluster::runTry(FakeTarget &target, InstanceId from, RunRequest const &run)
+{
+    auto const id = std::pair(run.key, run.tryId);
+    if (auto const known = target.tries.find(id); known != target.tries.end()) {
+        if (known->second == FakeTarget::TryState::Shed)
+            this->toInstance(target, from, Shed{.key = run.key, .tryId = run.tryId});
+        else if (known->second == FakeTarget::TryState::Running)
+            this->toInstance(target, from, RequestStarted{.key = run.key, .tryId = run.tryId});
+        else
+            this->sendAnswer(target, from, run.key, run.tryId, {0, 1, 2, 3});
+        return;
+    }
+    if (this->pick(100) < this->faults.shedPercent) {
+        target.tries[id] = FakeTarget::TryState::Shed;
+        this->toInstance(target, from, Shed{.key = run.key, .tryId = run.tryId, .retryAfter = 60ms});
+        return;
+    }
+    target.tries[id] = FakeTarget::TryState::Running;
+    ++this->ledger[run.key];
+    target.mostRunning = std::max(target.mostRunning, ++target.running);
+    this->toInstance(target, from, RequestStarted{.key = run.key, .tryId = run.tryId});
+    Duration const serviceTime{1 + this->pick(static_cast<std::uint64_t>(this->maxServiceTime.count()))};
+    auto const startMark = target.startMark;
+    this->after(serviceTime, [this, &target, id, from, startMark] {
+        if (target.startMark != startMark || !target.isUp)
+            return;
+        --target.running;
+        target.tries[id] = FakeTarget::TryState::Answered;
+        this->sendAnswer(target, from, id.first, id.second, {0, 1, 2, 3});
+    });
+}
+
+void FakeCluster::sendAnswer(FakeTarget const &target, InstanceId to, RequestKey key, std::uint64_t tryId,
+                             std::vector<std::uint32_t> const &parts)
+{
+    for (std::uint32_t const part : parts) {
+        if (part >= partCount(key))
+            continue;
+        bool const isLast = part + 1 == partCount(key);
+        this->toInstance(target, to,
+                         AnswerPart{.key = key,
+                                    .tryId = tryId,
+                                    .part = part,
+                                    .position = isLast ? PartPosition::Last : PartPosition::Middle,
+                                    .payload = answerText(key, tryId, part)});
+    }
+}
+
+void FakeCluster::toInstance(FakeTarget const &target, InstanceId to, RequestTargetMessage const &message)
+{
+    auto const index = static_cast<std::size_t>(&this->find(to) - this->instances.data());
+    Endpoint const endpoint = target.endpoint;
+    this->transmit([=, this] {
+        this->deliver(index, [=, this] {
+            this->instances[index].controller->handleTargetMessage(endpoint, message, this->now);
+        });
+    });
+}
+
+void FakeCluster::kill(std::size_t index)
+{
+    FakeInstance &instance = this->instances[index];
+    if (!instance.isAlive)
+        return;
+    instance.isAlive = false;
+    instance.inbox.clear();
+    this->after(detectionTime, [this, index] {
+        if (this->instances[index].isAlive)
+            return;
+        this->instances[index].isDeclaredDead = true;
+        this->refreshViews();
+    });
+}
+
+void FakeCluster::restart(std::size_t index)
+{
+    FakeInstance &instance = this->instances[index];
+    if (instance.isAlive)
+        return;
+    instance.isFrozen = false;
+    instance.isDeclaredDead = false;
+    this->start(instance);
+    this->applyView(index);
+    this->refreshViews();
+}
+
+void FakeCluster::freeze(std::size_t index, Duration duration)
+{
+    FakeInstance &instance = this->instances[index];
+    if (!instance.isAlive || instance.isFrozen)
+        return;
+    instance.isFrozen = true;
+    unsigned const incarnation = instance.incarnation;
+    if (duration > detectionTime)
+        this->after(detectionTime, [=, this] {
+            FakeInstance &missing = this->instances[index];
+            if (!missing.isFrozen || missing.incarnation != incarnation)
+                return;
+            missing.isDeclaredDead = true;
+            this->refreshViews();
+        });
+    this->after(duration, [=, this] {
+        FakeInstance &resumed = this->instances[index];
+        if (!resumed.isAlive || resumed.incarnation != incarnation)
+            return;
+        resumed.isFrozen = false;
+        auto const setLease = [](FakeInstance &holder, LeaseState lease) {
+            holder.board->ownStatus.update([&](OwnStatus status) {
+                status.lease = lease;
+                return status;
+            });
+        };
+        // An instance that finds that it was paused for more than 1 s gives up its lease first.
+        bool const losesLease = duration > 1s;
+        if (losesLease) {
+            setLease(resumed, LeaseState::Expired);
+            resumed.dispatched.clear();
+        }
+        for (auto const &handle : std::exchange(resumed.inbox, {}))
+            handle();
+        if (!losesLease)
+            return;
+        this->after(500ms, [=, this] {
+            FakeInstance &returning = this->instances[index];
+            if (!returning.isAlive || returning.incarnation != incarnation)
+                return;
+            returning.isDeclaredDead = false;
+            returning.dispatched.clear();
+            this->applyView(index);
+            setLease(returning, LeaseState::Held);
+            this->refreshViews();
+        });
+    });
+}
+
+void FakeCluster::restartTarget(std::size_t index)
+{
+    FakeTarget &target = this->targets[index];
+    if (!target.isUp)
+        return;
+    target.isUp = false;
+    target.running = 0;
+    target.tries.clear();
+    this->after(targetRestartTime, [this, index] {
+        this->targets[index].isUp = true;
+        ++this->targets[index].startMark;
+        this->refreshViews();
+    });
+}
+
+void FakeCluster::moveBuckets()
+{
+    this->areBucketsMoved = !this->areBucketsMoved;
+    this->refreshViews();
+    for (Duration delay = 50ms; delay < 2s; delay += 100ms)
+        this->after(delay, [this] { this->shareClaims(); });
+}
+
+void FakeCluster::cut(std::size_t index, Duration duration)
+{
+    this->cutOff.insert(index);
+    this->after(duration, [this, index] { this->cutOff.erase(index); });
+}
+
+unsigned FakeCluster::runsOf(RequestKey key) const
+{
+    auto const found = this->ledger.find(key);
+    return found == this->ledger.end() ? 0 : found->second;
+}
+
+std::size_t FakeCluster::countOutcomes(RequestOutcome outcome) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->callers, [&](auto const &entry) { return entry.second.outcome == outcome; }));
+}
+
+FakeInstance &FakeCluster::dispatcherOf(std::size_t target)
+{
+    for (FakeInstance &instance : this->instances) {
+        if (instance.isAlive && instance.dispatched.contains(this->targets[target].id))
+            return instance;
+    }
+    return this->instances.front();
+}
+
+std::string FakeCluster::brokenInvariant() const
+{
+    if (!this->violations.empty())
+        return this->violations.front();
+    for (FakeTarget const &target : this->targets) {
+        if (target.mostRunning > target.slots)
+            return fmt::format("{} tries at a target with {} slots", target.mostRunning, target.slots);
+    }
+    for (auto const &[key, caller] : this->callers) {
+        bool const isOnce = caller.request.idempotency == Idempotency::NonIdempotent;
+        if (isOnce && this->runsOf(key) > 1)
+            return fmt::format("request {} ran {} times", key.number, this->runsOf(key));
+        if (isOnce && caller.outcome == RequestOutcome::NotRun && this->runsOf(key) > 0)
+            return fmt::format("request {} ran although its caller was told not run", key.number);
+        if (caller.outcome == RequestOutcome::Answered && this->runsOf(key) == 0)
+            return fmt::format("request {} was answered without a run", key.number);
+    }
+    return {};
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibRequests/FakeCluster.h
@@ -0,0 +1,136 @@
+// Several request controllers, joined by a fake link that loses, delays, repeats and reorders messages, with
+// fake targets that keep a ledger of what they ran and fake callers that resend. Time is simulated.
+
+#pragma once
+
+#include <LibRequests/RequestController.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+struct FaultRates
+{
+    unsigned lostPercent = 0;
+    unsigned repeatedPercent = 0;
+    unsigned shedPercent = 0;
+    Duration maxDelay = 20ms;
+    Duration maxViewDelay = 0ms; // Views of instances change up to this much apart.
+};
+
+// Ids of targets with one endpoint each; a target belongs to the failure domain of the same index.
+struct FakeTarget
+{
+    enum class TryState : std::uint8_t { Running, Answered, Shed };
+    TargetId id;
+    Endpoint endpoint;
+    std::string domain;
+    std::uint32_t slots = 2;
+    std::uint64_t startMark = 1;
+    bool isUp = true;
+    TargetState state = TargetState::Warm;
+    std::map<std::pair<RequestKey, std::uint64_t>, TryState> tries{};
+    std::uint32_t running = 0;
+    std::uint32_t mostRunning = 0;
+};
+
+struct FakeInstance
+{
+    InstanceId id;
+    std::string domain;
+    std::unique_ptr<Blackboard> board{};
+    std::unique_ptr<RequestController> controller{};
+    bool isAlive = true;
+    bool isFrozen = false;
+    bool isDeclaredDead = false;
+    unsigned incarnation = 0;
+    std::vector<std::function<void()>> inbox{}; // Arrived while frozen.
+    std::set<TargetId> dispatched{};
+};
+
+struct FakeCaller
+{
+    Request request;
+    Timestamp deadline;
+    RequestOutcome outcome = RequestOutcome::None;
+    Reason reason = Reason::None;
+    std::map<std::uint64_t, std::map<std::uint32_t, AnswerPart>> parts{}; // By try.
+    std::set<std::pair<InstanceId, unsigned>> refusedBy{}; // Instances that said NotRun.
+};
+
+class FakeCluster
+{
+public:
+    FakeCluster(std::uint64_t seed, FaultRates faultRates, std::vector<std::size_t> instancesPerDomain,
+                RequestSettings settingsInUse = {});
+
+    // Sends a request through random instances until it has an outcome, every 400 ms.
+    RequestKey send(RequestClass requestClass, Idempotency idempotency, Duration timeLeft);
+    void sendOnce(RequestKey key, std::uint32_t attempt);
+    void run(Duration duration);
+    void after(Duration delay, std::function<void()> action);
+
+    void kill(std::size_t index); // Loses the blackboard; declared dead 3 s later.
+    void restart(std::size_t index);
+    void freeze(std::size_t index, Duration duration);
+    void restartTarget(std::size_t index);
+    void moveBuckets(); // Gives every bucket to the other target.
+    void cut(std::size_t index, Duration duration);
+
+    // The name of the first invariant that does not hold, or an empty text.
+    std::string brokenInvariant() const;
+
+    FakeCaller const &caller(RequestKey key) const { return this->callers.at(key); }
+    unsigned runsOf(RequestKey key) const;
+    std::size_t countOutcomes(RequestOutcome outcome) const;
+    FakeInstance &dispatcherOf(std::size_t target);
+    std::uint64_t pick(std::uint64_t bound) { return this->engine() % bound; }
+
+    static std::string answerText(RequestKey key, std::uint64_t tryId, std::uint32_t part);
+
+    std::vector<FakeTarget> targets;
+    std::vector<FakeInstance> instances;
+    std::vector<std::string> violations;
+    ServiceId service = ServiceId::fromName("desk");
+    Timestamp now{1000s};
+    std::map<RequestKey, unsigned> ledger;
+    Duration maxServiceTime = 300ms;
+
+private:
+    void start(FakeInstance &instance);
+    void tickRepeatedly(InstanceId id, unsigned incarnation);
+    void transmit(std::function<void()> deliver);
+    void deliver(std::size_t index, std::function<void()> handle);
+    void refreshViews();
+    void applyView(std::size_t index);
+    RoutingView buildView(FakeInstance const &instance) const;
+    void shareClaims();
+    void route(FakeInstance &at, Forwarded forwarded);
+    void passToCandidate(FakeInstance &at, Forwarded forwarded);
+    void handlePeer(FakeInstance &at, InstanceId from, PeerMessage const &message);
+    void handleCallerReply(FakeInstance const &from, unsigned incarnation, CallerReply const &reply);
+    void handleTargetCommand(FakeTarget &target, InstanceId from, TargetCommand const &command);
+    void runTry(FakeTarget &target, InstanceId from, RunRequest const &run);
+    void sendAnswer(FakeTarget const &target, InstanceId to, RequestKey key, std::uint64_t tryId,
+                    std::vector<std::uint32_t> const &parts);
+    void toInstance(FakeTarget const &target, InstanceId to, RequestTargetMessage const &message);
+    FakeInstance &find(InstanceId id);
+    void resendUntilOutcome(RequestKey key, std::uint32_t attempt);
+
+    std::mt19937_64 engine;
+    FaultRates faults;
+    RequestSettings settings;
+    std::multimap<Timestamp, std::function<void()>> events;
+    std::map<RequestKey, FakeCaller> callers;
+    std::set<std::size_t> cutOff;
+    bool areBucketsMoved = false;
+    std::uint64_t lastNumber = 0;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibRequests/RequestFaultsTest.cpp
@@ -0,0 +1,158 @@
+// Property tests: several instances, lossy links, dying instances and targets. Checks that outcomes are true.
+
+#include "FakeCluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Duration settleTime = 15s;
+
+RequestClass randomClass(FakeCluster &cluster)
+{
+    return static_cast<RequestClass>(cluster.pick(3));
+}
+
+// Mostly non-idempotent requests with deadlines up to the 5 s that a new dispatcher waits for.
+void sendRandom(FakeCluster &cluster)
+{
+    auto const idempotency = cluster.pick(4) == 0 ? Idempotency::Idempotent : Idempotency::NonIdempotent;
+    cluster.send(randomClass(cluster), idempotency, 500ms + Duration(cluster.pick(3'500'000)));
+}
+
+void injectFault(FakeCluster &cluster)
+{
+    std::size_t const index = cluster.pick(cluster.instances.size());
+    switch (cluster.pick(7)) {
+    case 0:
+        cluster.kill(index);
+        break;
+    case 1:
+        cluster.restart(index);
+        break;
+    case 2:
+        cluster.freeze(index, 200ms + Duration(cluster.pick(6'000'000)));
+        break;
+    case 3:
+        cluster.restartTarget(cluster.pick(cluster.targets.size()));
+        break;
+    case 4:
+        cluster.moveBuckets();
+        break;
+    case 5:
+        cluster.cut(index, Duration(cluster.pick(1'500'000)));
+        break;
+    default:
+        break;
+    }
+}
+
+void checkInvariants(FakeCluster const &cluster)
+{
+    RC_ASSERT(cluster.brokenInvariant() == std::string());
+}
+
+} // namespace
+
+class RequestFaultsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestFaultsTest);
+    CPPUNIT_TEST(lossyLinksKeepOutcomesTrue);
+    CPPUNIT_TEST(anyFaultsKeepOutcomesTrue);
+    CPPUNIT_TEST(killedDispatcherLeavesUnknownOutcomes);
+    CPPUNIT_TEST(groupOfOneRefusesOnlyNonIdempotent);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against double runs and false outcomes from lost, late, repeated and reordered messages alone.
+    void lossyLinksKeepOutcomesTrue()
+    {
+        bool const holds = rc::check("lossy links", [] {
+            FaultRates const faults{.lostPercent = *rc::gen::inRange(0U, 30U),
+                                    .repeatedPercent = *rc::gen::inRange(0U, 30U),
+                                    .shedPercent = *rc::gen::inRange(0U, 30U),
+                                    .maxDelay = 1ms * *rc::gen::inRange(2, 150)};
+            FakeCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), faults, {3, 3});
+            for (int step = 0; step < 30; ++step) {
+                sendRandom(cluster);
+                cluster.run(Duration(cluster.pick(150'000)));
+            }
+            cluster.run(settleTime);
+            checkInvariants(cluster);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against the same with instances that die, restart without memory, freeze or are cut off, with
+    // targets that restart and with buckets that move.
+    void anyFaultsKeepOutcomesTrue()
+    {
+        bool const holds = rc::check("any faults", [] {
+            FaultRates const faults{.lostPercent = *rc::gen::inRange(0U, 15U),
+                                    .repeatedPercent = *rc::gen::inRange(0U, 15U),
+                                    .shedPercent = *rc::gen::inRange(0U, 20U),
+                                    .maxDelay = 1ms * *rc::gen::inRange(2, 100),
+                                    .maxViewDelay = 1ms * *rc::gen::inRange(0, 800)};
+            FakeCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), faults, {3, 3});
+            for (int step = 0; step < 60; ++step) {
+                sendRandom(cluster);
+                if (cluster.pick(3) == 0)
+                    injectFault(cluster);
+                cluster.run(Duration(cluster.pick(400'000)));
+            }
+            cluster.run(settleTime);
+            checkInvariants(cluster);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against a second run by the successor of a dispatcher that died with a request at the target.
+    void killedDispatcherLeavesUnknownOutcomes()
+    {
+        bool const holds = rc::check("killed dispatcher", [] {
+            FakeCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), {}, {3});
+            cluster.maxServiceTime = 4s;
+            auto const key = cluster.send(RequestClass::Urgent, Idempotency::NonIdempotent, 8s);
+            cluster.run(100ms);
+            RC_PRE(cluster.targets[0].running == 1U);
+            RC_ASSERT(cluster.runsOf(key) == 1U);
+            auto const dispatcher = &cluster.dispatcherOf(0) - cluster.instances.data();
+            cluster.kill(static_cast<std::size_t>(dispatcher));
+            cluster.run(settleTime);
+            RC_ASSERT(cluster.caller(key).outcome == RequestOutcome::Unknown);
+            RC_ASSERT(cluster.runsOf(key) == 1U);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against a run without a second copy of the record, and against refusing what needs no record.
+    void groupOfOneRefusesOnlyNonIdempotent()
+    {
+        for (std::size_t const size : {std::size_t{1}, std::size_t{3}}) {
+            FakeCluster cluster(1, {}, {size});
+            auto const dispatcher =
+                static_cast<std::size_t>(&cluster.dispatcherOf(0) - cluster.instances.data());
+            for (std::size_t index = 0; index < size; ++index) {
+                if (index != dispatcher)
+                    cluster.kill(index);
+            }
+            cluster.run(4s);
+            for (int count = 0; count < 5; ++count) {
+                auto const once = cluster.send(RequestClass::Urgent, Idempotency::NonIdempotent, 3s);
+                auto const any = cluster.send(RequestClass::Urgent, Idempotency::Idempotent, 3s);
+                cluster.run(settleTime);
+                CPPUNIT_ASSERT(cluster.caller(once).outcome == RequestOutcome::NotRun);
+                CPPUNIT_ASSERT(cluster.caller(once).reason == Reason::NoSecondCopy);
+                CPPUNIT_ASSERT_EQUAL(0U, cluster.runsOf(once));
+                CPPUNIT_ASSERT(cluster.caller(any).outcome == RequestOutcome::Answered);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string(), cluster.brokenInvariant());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestFaultsTest);
+
+} // namespace almondwing
