--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -53,6 +53,13 @@
     AnnouncementRejected = 1408,
     ConfigurationInForce = 1250,
     ConfigurationRefused = 1251,
+    RecordQuorumMissing = 1300,
+    TryOverdue = 1301,
+    SlotConfirmationMissing = 1302,
+    ForeignAnswerDropped = 1303,
+    AnswerMemoryFull = 1304,
+    SlotsInherited = 1305,
+    TargetRestartedUnderTry = 1306,
 };
 
 struct EventDescription
