Requests: Use the recent moves of the routing view

Cause: a timestamp for each bucket takes 36 MB at 1,100 services; the view now keeps only recent moves. Change: requests ask the view whether a bucket moved within a window.

--- a/Libraries/LibRequests/LocatePlan.cpp
+++ b/Libraries/LibRequests/LocatePlan.cpp
@@ -76,7 +76,7 @@
     std::uint16_t const index = routes.buckets[bucket];
     if (index >= routes.targets.size() || routes.targets[index].record.id != target)
         return true;
-    if (now - routes.changedAt[bucket] < settings.bucketSettleTime)
+    if (routes.hasMovedWithin(bucket, settings.bucketSettleTime, now))
         return true;
     return std::ranges::any_of(claims, [&](ClaimUpdate const &claim) {
         return claim.target != target && std::ranges::find(claim.buckets, bucket) != claim.buckets.end();
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -189,12 +189,16 @@
         routes->targets.push_back(routed);
         view.serviceOfTarget[target.id] = this->service;
     }
+    if (before != nullptr)
+        routes->recentMoves = before->recentMoves;
     for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
         routes->buckets[bucket] =
             static_cast<std::uint16_t>((bucket + (this->areBucketsMoved ? 1 : 0)) % this->targets.size());
         bool const isChanged = before != nullptr && before->buckets[bucket] != routes->buckets[bucket];
-        routes->changedAt[bucket] =
-            isChanged ? this->now : (before != nullptr ? before->changedAt[bucket] : this->now - 100s);
+        if (isChanged)
+            routes->recentMoves.push_back(BucketMove{.bucket = static_cast<std::uint16_t>(bucket),
+                                                     .previous = before->targets[before->buckets[bucket]].record.id,
+                                                     .at = this->now});
     }
     view.services[this->service] = routes;
     return view;
