--- a/Libraries/LibFrontEnd/IoRuntime.cpp
+++ b/Libraries/LibFrontEnd/IoRuntime.cpp
@@ -76,4 +76,21 @@
     this->io->asio.stop();
 }
 
+struct SerialQueue::Strand
+{
+    boost::asio::strand<boost::asio::io_context::executor_type> executor;
+};
+
+SerialQueue::SerialQueue(IoRuntime &runtime)
+    : strand(std::make_unique<Strand>(Strand{boost::asio::make_strand(runtime.context().asio)}))
+{
+}
+
+SerialQueue::~SerialQueue() = default;
+
+void SerialQueue::post(std::function<void()> work)
+{
+    boost::asio::post(this->strand->executor, std::move(work));
+}
+
 } // namespace almondwing
--- a/Libraries/LibFrontEnd/IoRuntime.h
+++ b/Libraries/LibFrontEnd/IoRuntime.h
@@ -46,4 +46,21 @@
     std::unique_ptr<IoContext> io;
 };
 
+// Runs pieces of work one at a time and in order, on whichever threads are free. For state with one owner at a time,
+// whose work may block on a disk, so that no lock is held meanwhile.
+class SerialQueue
+{
+public:
+    explicit SerialQueue(IoRuntime &runtime);
+    ~SerialQueue();
+    SerialQueue(SerialQueue const &) = delete;
+    SerialQueue &operator=(SerialQueue const &) = delete;
+
+    void post(std::function<void()> work);
+
+private:
+    struct Strand;
+    std::unique_ptr<Strand> strand;
+};
+
 } // namespace almondwing
--- /dev/null
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -0,0 +1,223 @@
+// Implements the routing of callers' messages.
+
+#include <LibInstance/CallerRouter.h>
+
+#include <LibRouting/ClaimController.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Duration refusalRetryAfter = 1s;
+
+bool isFlowMessage(CallerMessage const &message)
+{
+    return std::holds_alternative<OpenFlow>(message) || std::holds_alternative<FlowData>(message)
+        || std::holds_alternative<CloseFlow>(message);
+}
+
+RequestKey requestKeyOf(CallerMessage const &message)
+{
+    if (auto const *const request = std::get_if<Request>(&message))
+        return request->key;
+    if (auto const *const cancel = std::get_if<CancelRequest>(&message))
+        return cancel->key;
+    if (auto const *const resend = std::get_if<ResendParts>(&message))
+        return resend->key;
+    return {};
+}
+
+void increment(std::atomic<std::uint64_t> &counter)
+{
+    counter.fetch_add(1, std::memory_order_relaxed);
+}
+
+} // namespace
+
+CallerRouter::CallerRouter(Blackboard &sharedBlackboard, Outbox sendingHooks,
+                           CallerControllers usedControllers)
+    : blackboard(sharedBlackboard), outbox(std::move(sendingHooks)), controllers(usedControllers)
+{
+}
+
+InstanceId CallerRouter::self() const
+{
+    return this->blackboard.ownStatus.read()->self.id;
+}
+
+void CallerRouter::handleFromCaller(Endpoint caller, CallerMessage message, Timestamp now)
+{
+    increment(this->fromCallers);
+    this->route(Forwarded{.caller = caller, .candidates = {}, .message = std::move(message)}, now);
+}
+
+void CallerRouter::handleForwarded(Forwarded const &forwarded, Timestamp now)
+{
+    this->route(forwarded, now);
+}
+
+void CallerRouter::route(Forwarded const &forwarded, Timestamp now)
+{
+    if (this->serveIfKnown(forwarded, now))
+        return;
+    auto const view = this->blackboard.routingView.read();
+    ForwardDecision const decision = decideForwarded(*view, this->self(), forwarded);
+    switch (decision.kind) {
+    case ForwardDecisionKind::HandleHere:
+        this->handleHere(decision, now);
+        return;
+    case ForwardDecisionKind::Forward:
+        increment(this->forwardedCount);
+        this->outbox.sendToInstance(decision.instance, decision.forwarded);
+        return;
+    case ForwardDecisionKind::Refuse:
+        this->refuse(decision.forwarded, decision.reason);
+        return;
+    case ForwardDecisionKind::Drop:
+        increment(decision.reason == Reason::UnknownService ? this->unknownService : this->hopLimit);
+        return;
+    }
+}
+
+// A record at this instance goes before the table: the table may have moved the bucket since. After a pause
+// of the process nothing is served from records until the lease is back, because a successor may have taken
+// over.
+bool CallerRouter::serveIfKnown(Forwarded const &forwarded, Timestamp now)
+{
+    if (!this->controllers.membership.canDispatch(now))
+        return false;
+    if (isFlowMessage(forwarded.message)) {
+        bool const isServed = this->controllers.flows.serveIfKnown(toFlowArrival(forwarded, TargetId{}), now);
+        if (isServed)
+            increment(this->handledHere);
+        return isServed;
+    }
+    if (!this->controllers.requests.isKnown(requestKeyOf(forwarded.message)))
+        return false;
+    increment(this->handledHere);
+    this->decideRequest(forwarded, TargetId{}, now);
+    return true;
+}
+
+void CallerRouter::handleHere(ForwardDecision const &decision, Timestamp now)
+{
+    if (!this->controllers.membership.canDispatch(now)) {
+        increment(this->withoutLease);
+        return;
+    }
+    increment(this->handledHere);
+    if (isFlowMessage(decision.forwarded.message))
+        this->controllers.flows.handleArrival(toFlowArrival(decision.forwarded, decision.target), now);
+    else
+        this->handleRequestMessage(decision, now);
+}
+
+void CallerRouter::handleRequestMessage(ForwardDecision const &decision, Timestamp now)
+{
+    switch (decision.forwarded.purpose) {
+    case ForwardPurpose::Deliver:
+        this->searchRequest(decision, now);
+        return;
+    case ForwardPurpose::Search: {
+        std::vector<TargetId> candidates = decision.forwarded.candidates;
+        candidates.insert(candidates.begin(), decision.target);
+        this->visitRequestCandidates(decision.forwarded, std::move(candidates), now);
+        return;
+    }
+    case ForwardPurpose::SearchEnded:
+    case ForwardPurpose::Spill:
+        this->decideRequest(decision.forwarded, decision.target, now);
+        return;
+    }
+}
+
+void CallerRouter::searchRequest(ForwardDecision const &decision, Timestamp now)
+{
+    MessageKey const key = keyOf(decision.forwarded.message);
+    auto candidates = possibleHolders(this->blackboard, key.service, bucketOf(key.hash), decision.target);
+    Forwarded search = decision.forwarded;
+    search.origin = this->self();
+    search.originTarget = decision.target;
+    this->visitRequestCandidates(search, std::move(candidates), now);
+}
+
+void CallerRouter::visitRequestCandidates(Forwarded const &forwarded, std::vector<TargetId> candidates,
+                                          Timestamp now)
+{
+    auto const view = this->blackboard.routingView.read();
+    while (!candidates.empty()) {
+        RoutedTarget const *const target = view->findTarget(candidates.front());
+        InstanceId const dispatcher = target == nullptr ? InstanceId{} : target->dispatcher;
+        bool const isElsewhere =
+            !dispatcher.isNone() && dispatcher != this->self() && dispatcher != forwarded.origin;
+        if (isElsewhere) {
+            Forwarded search = forwarded;
+            search.purpose = ForwardPurpose::Search;
+            search.candidates = std::move(candidates);
+            ++search.hops;
+            this->outbox.sendToInstance(dispatcher, search);
+            return;
+        }
+        candidates.erase(candidates.begin());
+    }
+    if (forwarded.origin == this->self()) {
+        this->decideRequest(forwarded, forwarded.originTarget, now);
+        return;
+    }
+    Forwarded ended = forwarded;
+    ended.purpose = ForwardPurpose::SearchEnded;
+    ended.candidates.clear();
+    this->outbox.sendToInstance(forwarded.origin, ended);
+}
+
+void CallerRouter::decideRequest(Forwarded const &forwarded, TargetId target, Timestamp now)
+{
+    if (auto const *const request = std::get_if<Request>(&forwarded.message))
+        this->controllers.requests.handleRequest(forwarded.caller, *request, target, forwarded.purpose,
+                                                 forwarded.hops, now);
+    else if (auto const *const cancel = std::get_if<CancelRequest>(&forwarded.message))
+        this->controllers.requests.handleCancel(forwarded.caller, *cancel, forwarded.hops, now);
+    else if (auto const *const resend = std::get_if<ResendParts>(&forwarded.message))
+        this->controllers.requests.handleResendParts(forwarded.caller, *resend, forwarded.hops, now);
+}
+
+void CallerRouter::refuse(Forwarded const &forwarded, Reason reason)
+{
+    if (auto const *const open = std::get_if<OpenFlow>(&forwarded.message)) {
+        increment(this->refused);
+        this->outbox.sendToCaller(
+            forwarded.caller,
+            FlowRefused{.key = open->key, .reason = reason, .retryAfter = refusalRetryAfter});
+    } else if (auto const *const request = std::get_if<Request>(&forwarded.message)) {
+        this->refuseRequest(forwarded.caller, *request, reason);
+    }
+    // Data of a flow gets no answer: the flow may be alive behind a partition that heals.
+}
+
+void CallerRouter::refuseRequest(Endpoint caller, Request const &request, Reason reason)
+{
+    increment(this->refused);
+    // An earlier attempt of a non-idempotent request may have run where this instance can't see it.
+    bool const isSurelyNotRun = request.idempotency == Idempotency::Idempotent || request.attempt <= 1;
+    if (isSurelyNotRun)
+        this->outbox.sendToCaller(
+            caller, NotRun{.key = request.key, .reason = reason, .retryAfter = refusalRetryAfter});
+    else
+        this->outbox.sendToCaller(caller, OutcomeUnknown{.key = request.key, .reason = reason});
+}
+
+CallerRouterCounters CallerRouter::counters() const
+{
+    return CallerRouterCounters{.fromCallers = this->fromCallers,
+                                .forwarded = this->forwardedCount,
+                                .handledHere = this->handledHere,
+                                .refused = this->refused,
+                                .unknownService = this->unknownService,
+                                .hopLimit = this->hopLimit,
+                                .withoutLease = this->withoutLease};
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibInstance/CallerRouter.h
@@ -0,0 +1,75 @@
+// Leads messages of callers to the controller or the instance that decides about them.
+
+#pragma once
+
+#include <LibMembership/MembershipController.h>
+#include <LibMessages/Outbox.h>
+#include <LibRequests/RequestController.h>
+#include <LibRouting/FlowController.h>
+#include <LibState/Blackboard.h>
+
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+namespace almondwing {
+
+struct CallerRouterCounters
+{
+    std::uint64_t fromCallers = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t handledHere = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknownService = 0;
+    std::uint64_t hopLimit = 0;
+    std::uint64_t withoutLease = 0;
+
+    friend bool operator==(CallerRouterCounters const &, CallerRouterCounters const &) = default;
+};
+
+// The controllers that a message may be handed to.
+struct CallerControllers
+{
+    MembershipController &membership;
+    FlowController &flows;
+    RequestController &requests;
+};
+
+class CallerRouter
+{
+public:
+    CallerRouter(Blackboard &blackboard, Outbox outbox, CallerControllers controllers);
+
+    // A message that reached this instance through the fabric.
+    void handleFromCaller(Endpoint caller, CallerMessage message, Timestamp now);
+
+    // A message that another instance passed on.
+    void handleForwarded(Forwarded const &forwarded, Timestamp now);
+
+    CallerRouterCounters counters() const;
+
+private:
+    void route(Forwarded const &forwarded, Timestamp now);
+    bool serveIfKnown(Forwarded const &forwarded, Timestamp now);
+    void handleHere(ForwardDecision const &decision, Timestamp now);
+    void handleRequestMessage(ForwardDecision const &decision, Timestamp now);
+    void searchRequest(ForwardDecision const &decision, Timestamp now);
+    void visitRequestCandidates(Forwarded const &forwarded, std::vector<TargetId> candidates, Timestamp now);
+    void decideRequest(Forwarded const &forwarded, TargetId target, Timestamp now);
+    void refuse(Forwarded const &forwarded, Reason reason);
+    void refuseRequest(Endpoint caller, Request const &request, Reason reason);
+    InstanceId self() const;
+
+    Blackboard &blackboard;
+    Outbox outbox;
+    CallerControllers controllers;
+    std::atomic<std::uint64_t> fromCallers = 0;
+    std::atomic<std::uint64_t> forwardedCount = 0;
+    std::atomic<std::uint64_t> handledHere = 0;
+    std::atomic<std::uint64_t> refused = 0;
+    std::atomic<std::uint64_t> unknownService = 0;
+    std::atomic<std::uint64_t> hopLimit = 0;
+    std::atomic<std::uint64_t> withoutLease = 0;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibInstance/Explanation.h
@@ -0,0 +1,31 @@
+// Explains where this instance would send a flow or request now, and why.
+
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibState/Blackboard.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+struct Explanation
+{
+    std::string service;
+    std::uint16_t bucket = 0;
+    std::string target; // Empty if no target takes the bucket.
+    std::string targetFailureDomain;
+    std::string dispatcher; // Empty if no instance of that failure domain is alive.
+    std::uint64_t configurationVersion = 0;
+    std::vector<std::string> claimedBy; // Other targets that may have the flow or request.
+    std::vector<std::string> reasons; // One sentence each, in the order of the decisions.
+
+    friend bool operator==(Explanation const &, Explanation const &) = default;
+};
+
+// `hash` is the hash of the FlowKey or RequestKey.
+Explanation explainRoute(Blackboard const &blackboard, std::string const &service, std::uint64_t hash);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibInstance/Instance.cpp
@@ -0,0 +1,160 @@
+// Joins the controllers of an instance.
+
+#include <LibInstance/Instance.h>
+
+#include <utility>
+
+namespace almondwing {
+
+Instance::Instance(InstanceSettings const &settings, Outbox const &outbox, RandomSource random)
+    : membership(blackboard, settings.membership, outbox, random),
+      targets(blackboard, settings.targets, outbox), routing(blackboard), flows(blackboard, outbox),
+      sweeper(blackboard, outbox), requests(blackboard, settings.requests, outbox, std::move(random)),
+      claims(blackboard, outbox,
+             [this](TargetId target) {
+                 auto const buckets = this->requests.bucketsInUse(target);
+                 return std::vector<std::uint16_t>(buckets.begin(), buckets.end());
+             }),
+      handover(blackboard, outbox), configurationKeeper(blackboard, outbox.report),
+      router(blackboard, outbox, CallerControllers{this->membership, this->flows, this->requests})
+{
+}
+
+void Instance::start(MemberRecord const &self, std::span<MemberRecord const> seeds, Timestamp now)
+{
+    this->membership.start(self, seeds, now);
+}
+
+void Instance::handleCallerMessage(Endpoint caller, CallerMessage message, Timestamp now)
+{
+    this->router.handleFromCaller(caller, std::move(message), now);
+}
+
+void Instance::handleTargetMessage(Endpoint from, TargetMessage const &message, Timestamp now)
+{
+    if (auto const *const started = std::get_if<RequestStarted>(&message))
+        this->requests.handleTargetMessage(from, *started, now);
+    else if (auto const *const shed = std::get_if<Shed>(&message))
+        this->requests.handleTargetMessage(from, *shed, now);
+    else if (auto const *const part = std::get_if<AnswerPart>(&message))
+        this->requests.handleTargetMessage(from, *part, now);
+    else
+        this->flows.handleTargetMessage(from, message, now);
+}
+
+void Instance::handlePeerMessage(InstanceId from, Endpoint fromEndpoint, PeerMessage const &message,
+                                 Timestamp now)
+{
+    if (auto const *const forwarded = std::get_if<Forwarded>(&message))
+        this->router.handleForwarded(*forwarded, now);
+    else if (auto const *const found = std::get_if<FlowFound>(&message))
+        this->flows.handleFlowFound(*found, now);
+    else if (auto const *const claim = std::get_if<ClaimUpdate>(&message))
+        this->claims.handleClaim(*claim);
+    else if (auto const *const update = std::get_if<ExceptionUpdate>(&message))
+        this->handover.handleUpdate(*update, now);
+    else if (auto const *const ping = std::get_if<Ping>(&message))
+        this->membership.handlePeerMessage(from, fromEndpoint, *ping, now);
+    else if (auto const *const ack = std::get_if<Ack>(&message))
+        this->membership.handlePeerMessage(from, fromEndpoint, *ack, now);
+    else if (auto const *const indirect = std::get_if<IndirectPing>(&message))
+        this->membership.handlePeerMessage(from, fromEndpoint, *indirect, now);
+    else if (auto const *const record = std::get_if<RecordRequest>(&message))
+        this->requests.handlePeerMessage(from, *record, now);
+    else if (auto const *const reply = std::get_if<RecordReply>(&message))
+        this->requests.handlePeerMessage(from, *reply, now);
+    else if (auto const *const release = std::get_if<RecordRelease>(&message))
+        this->requests.handlePeerMessage(from, *release, now);
+    else if (auto const *const locate = std::get_if<Locate>(&message))
+        this->requests.handlePeerMessage(from, *locate, now);
+    else if (auto const *const located = std::get_if<LocateReply>(&message))
+        this->requests.handlePeerMessage(from, *located, now);
+}
+
+AnnouncementOutcome Instance::handleAnnouncement(TargetAnnouncement const &announcement, Timestamp now)
+{
+    return this->targets.handleAnnouncement(announcement, now);
+}
+
+void Instance::handleHealthReport(TargetId target, HealthReport const &report, Timestamp now)
+{
+    this->targets.handleHealthReport(target, report, now);
+}
+
+KeepOutcome Instance::handleConfiguration(Configuration const &configuration)
+{
+    return this->configurationKeeper.take(configuration);
+}
+
+void Instance::handleRecords(std::span<MemberRecord const> members, std::span<TargetRecord const> records,
+                             Timestamp now)
+{
+    this->membership.mergeRecords(members, records, now);
+}
+
+void Instance::tick(Timestamp now)
+{
+    this->membership.tick(now);
+    this->targets.tick(now);
+    this->routing.refresh(now);
+    this->sweeper.refreshKnowledge(now);
+    this->handleOwnershipChanges(now);
+    this->claims.tick(now);
+    this->handover.tick(now);
+    this->sweeper.tick(now);
+    this->requests.tick(now);
+    if (this->stopBegun == 0)
+        return;
+    bool const isIdle = this->requests.isIdle() && !this->handover.hasFlowsToHandOver();
+    if (!isIdle)
+        this->idleSince = 0;
+    else if (this->idleSince == 0)
+        this->idleSince = now.time_since_epoch().count();
+}
+
+void Instance::handleOwnershipChanges(Timestamp now)
+{
+    for (TargetId const target : this->targets.takenOver())
+        this->requests.handleTakeover(target, now);
+    // A target that this instance has given up belongs to another dispatcher now; its flows are handed over.
+    static_cast<void>(this->targets.handedOver());
+}
+
+std::optional<Timestamp> Instance::sendNextBulkPart(Timestamp now)
+{
+    return this->requests.sendNextBulkPart(now);
+}
+
+std::vector<TargetCheck> Instance::targetsToCheck(Timestamp now)
+{
+    return this->targets.targetsToCheck(now);
+}
+
+std::optional<InstanceId> Instance::staleRecordsPeer(Timestamp now)
+{
+    return this->membership.hasStaleRecords(now);
+}
+
+ConfigurationSeen Instance::highestConfigurationSeen() const
+{
+    return this->membership.highestConfigurationSeen();
+}
+
+void Instance::beginStop(Timestamp now)
+{
+    this->stopBegun = now.time_since_epoch().count();
+    this->membership.leave(now);
+    this->requests.beginStop(now);
+}
+
+bool Instance::isStopped(Timestamp now) const
+{
+    if (this->stopBegun == 0)
+        return false;
+    Duration const sinceStop = now.time_since_epoch() - Duration(this->stopBegun);
+    bool const hasLingered =
+        this->idleSince != 0 && now.time_since_epoch() - Duration(this->idleSince) >= stopLinger;
+    return sinceStop >= stopLimit || (hasLingered && sinceStop >= stopLinger);
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibInstance/Instance.h
@@ -0,0 +1,96 @@
+// All controllers of one instance on one blackboard. Typed events go in, hooks carry the actions out; there
+// is no socket, codec, clock or thread inside, so that the daemon and the property tests run the same
+// objects.
+
+#pragma once
+
+#include <LibConfiguration/ConfigurationKeeper.h>
+#include <LibInstance/CallerRouter.h>
+#include <LibMembership/MembershipController.h>
+#include <LibRequests/RequestController.h>
+#include <LibRouting/ClaimController.h>
+#include <LibRouting/FlowController.h>
+#include <LibRouting/FlowSweeper.h>
+#include <LibRouting/HandoverController.h>
+#include <LibRouting/RoutingController.h>
+#include <LibState/Blackboard.h>
+#include <LibTargets/TargetController.h>
+
+#include <atomic>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace almondwing {
+
+struct InstanceSettings
+{
+    MembershipSettings membership;
+    TargetSettings targets;
+    RequestSettings requests;
+};
+
+// A graceful shutdown ends when the work is done, or after this time at the latest.
+constexpr Duration stopLimit = 120s;
+
+// After its last work an instance still forwards what arrives until the others have seen that it leaves.
+constexpr Duration stopLinger = 3s;
+
+class Instance
+{
+public:
+    Instance(InstanceSettings const &settings, Outbox const &outbox, RandomSource random);
+
+    void start(MemberRecord const &self, std::span<MemberRecord const> seeds, Timestamp now);
+
+    void handleCallerMessage(Endpoint caller, CallerMessage message, Timestamp now);
+    void handleTargetMessage(Endpoint from, TargetMessage const &message, Timestamp now);
+    void handlePeerMessage(InstanceId from, Endpoint fromEndpoint, PeerMessage const &message, Timestamp now);
+    AnnouncementOutcome handleAnnouncement(TargetAnnouncement const &announcement, Timestamp now);
+    void handleHealthReport(TargetId target, HealthReport const &report, Timestamp now);
+    KeepOutcome handleConfiguration(Configuration const &configuration);
+    void handleRecords(std::span<MemberRecord const> members, std::span<TargetRecord const> targets,
+                       Timestamp now);
+
+    // To be called every 25 ms; each controller takes its own pace.
+    void tick(Timestamp now);
+
+    // Sends at most one part of a bulk answer and returns when to call again; nothing if none waits.
+    std::optional<Timestamp> sendNextBulkPart(Timestamp now);
+
+    // Health checks that are due.
+    std::vector<TargetCheck> targetsToCheck(Timestamp now);
+    // The peer whose records are to be fetched.
+    std::optional<InstanceId> staleRecordsPeer(Timestamp now);
+    ConfigurationSeen highestConfigurationSeen() const;
+
+    void beginStop(Timestamp now);
+    bool isStopped(Timestamp now) const;
+
+    Blackboard &state() { return this->blackboard; }
+    Blackboard const &state() const { return this->blackboard; }
+    MembershipController const &membershipController() const { return this->membership; }
+    FlowController const &flowController() const { return this->flows; }
+    FlowSweeper const &flowSweeper() const { return this->sweeper; }
+    TargetController const &targetController() const { return this->targets; }
+    CallerRouter const &callerRouter() const { return this->router; }
+
+private:
+    void handleOwnershipChanges(Timestamp now);
+
+    Blackboard blackboard;
+    MembershipController membership;
+    TargetController targets;
+    RoutingController routing;
+    FlowController flows;
+    FlowSweeper sweeper;
+    RequestController requests;
+    ClaimController claims;
+    HandoverController handover;
+    ConfigurationKeeper configurationKeeper;
+    CallerRouter router;
+    std::atomic<Duration::rep> stopBegun{0}; // Microseconds of the steady clock; 0 before a stop.
+    std::atomic<Duration::rep> idleSince{0}; // The same; 0 while there is work.
+};
+
+} // namespace almondwing
--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -54,6 +54,31 @@
 
 } // namespace
 
+std::vector<TargetId> possibleHolders(Blackboard const &blackboard, ServiceId service, std::uint16_t bucket,
+                                      TargetId except)
+{
+    std::vector<TargetId> holders;
+    auto const add = [&](TargetId target) {
+        bool const isNew = target != except && std::ranges::find(holders, target) == holders.end();
+        if (isNew && holders.size() < maximumCandidates)
+            holders.push_back(target);
+    };
+    auto const view = blackboard.routingView.read();
+    ServiceRoutes const *const routes = view->findService(service);
+    if (routes == nullptr)
+        return holders;
+    for (BucketMove const &move : routes->recentMoves) {
+        if (move.bucket == bucket)
+            add(move.previous);
+    }
+    for (RoutedTarget const &target : routes->targets) {
+        auto const claim = blackboard.claims.read(target.record.id);
+        if (claim && std::ranges::binary_search(claim->value.buckets, bucket))
+            add(target.record.id);
+    }
+    return holders;
+}
+
 ClaimController::ClaimController(Blackboard &sharedBlackboard, Outbox sendingHooks, RequestBuckets requests)
     : blackboard(sharedBlackboard), outbox(std::move(sendingHooks)), requestBuckets(std::move(requests))
 {
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -18,6 +18,15 @@
 // Names the buckets in which this instance holds request records of a target, in any order.
 using RequestBuckets = std::function<std::vector<std::uint16_t>(TargetId)>;
 
+// A Forwarded message has room for this many candidates. Flows of one bucket are rarely at more than three
+// targets.
+constexpr std::size_t maximumCandidates = 8;
+
+// Other targets that may have a flow or request of the bucket: those that claim it, and those that had it a
+// short time ago and may not have claimed it yet.
+std::vector<TargetId> possibleHolders(Blackboard const &blackboard, ServiceId service, std::uint16_t bucket,
+                                      TargetId except);
+
 class ClaimController
 {
 public:
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -2,6 +2,7 @@
 
 #include <LibRouting/FlowController.h>
 
+#include <LibRouting/ClaimController.h>
 #include <LibRouting/ConnectionCount.h>
 #include <LibRouting/RouteChoice.h>
 
@@ -16,9 +17,6 @@
 // record.
 constexpr Duration timeResolution = 1s;
 
-// A Forwarded message has room for this many candidates.
-constexpr std::size_t maximumCandidates = 8;
-
 // An adopted flow that this many targets in turn do not know is reported broken.
 constexpr std::uint8_t maximumMisses = 3;
 
@@ -37,11 +35,6 @@
     return bucketOf(std::hash<FlowKey>{}(key));
 }
 
-bool claimsBucket(ClaimUpdate const &claim, std::uint16_t bucket)
-{
-    return std::ranges::binary_search(claim.buckets, bucket);
-}
-
 std::size_t indexOfTarget(ServiceRoutes const &routes, TargetId target)
 {
     auto const found = std::ranges::find(routes.targets, target,
@@ -177,39 +170,16 @@
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = key, .target = record.target});
 }
 
-// Other targets that may have the flow: where it was found before, those that claim its bucket, and the one
-// that had the bucket a short time ago and may not have claimed it yet.
 std::vector<TargetId> FlowController::searchCandidates(FlowKey const &key, TargetId except) const
 {
-    std::vector<TargetId> candidates;
-    auto const add = [&](TargetId target) {
-        if (target != except && !target.isNone() && std::ranges::find(candidates, target) == candidates.end())
-            candidates.push_back(target);
-    };
     if (auto const redirect = this->blackboard.redirects.read(key)) {
         // A known place spares the look at all claims; if the flow is not there, the search begins anew
         // without it.
-        add(redirect->value.target);
-        if (!candidates.empty())
-            return candidates;
+        TargetId const target = redirect->value.target;
+        if (target != except && !target.isNone())
+            return {target};
     }
-    auto const view = this->blackboard.routingView.read();
-    ServiceRoutes const *const routes = view->findService(key.service);
-    if (routes == nullptr)
-        return candidates;
-    std::uint16_t const bucket = bucketOfFlow(key);
-    for (BucketMove const &move : routes->recentMoves) {
-        if (move.bucket == bucket)
-            add(move.previous);
-    }
-    for (RoutedTarget const &target : routes->targets) {
-        auto const claim = this->blackboard.claims.read(target.record.id);
-        if (claim && claimsBucket(claim->value, bucket))
-            add(target.record.id);
-    }
-    if (candidates.size() > maximumCandidates)
-        candidates.resize(maximumCandidates);
-    return candidates;
+    return possibleHolders(this->blackboard, key.service, bucketOfFlow(key), except);
 }
 
 void FlowController::startSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
--- /dev/null
+++ b/Services/almondwingd/ControlApi.cpp
@@ -0,0 +1,337 @@
+// Implements the HTTP surface.
+
+#include "ControlApi.h"
+
+#include "RecordsJson.h"
+#include "StatusJson.h"
+
+#include <LibConfigurationJson/ChangeJson.h>
+#include <LibConfigurationJson/StateJson.h>
+#include <LibFrontEnd/HttpClient.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <ctime>
+#include <map>
+#include <mutex>
+
+namespace almondwing {
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusGatewayTimeout = 504;
+
+// A change waits for a majority; an election in between takes up to 4 s.
+constexpr Duration changeTimeout = 8s;
+constexpr Duration coverageTimeout = 1s;
+constexpr std::size_t defaultAuditLimit = 100;
+
+// Marks a message that another instance passed on, so that it is not passed on again.
+constexpr char const *passedOnParameter = "passedOn";
+
+HttpResponse errorResponse(unsigned status, std::string_view text)
+{
+    return HttpResponse{.status = status, .body = formatError(text)};
+}
+
+std::uint64_t numberOf(std::string const &text, std::uint64_t otherwise)
+{
+    std::uint64_t number = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc{} && end == text.data() + text.size() ? number : otherwise;
+}
+
+std::string joinErrors(InputErrors const &errors)
+{
+    std::string text;
+    for (InputError const &error : errors)
+        text += (text.empty() ? "" : "\n") + error.toString();
+    return text;
+}
+
+HttpResponse outcomeResponse(ChangeOutcome const &outcome)
+{
+    unsigned status = 200;
+    if (std::holds_alternative<ChangeConflict>(outcome))
+        status = statusConflict;
+    else if (std::holds_alternative<ChangeRejected>(outcome))
+        status = statusBadRequest;
+    return HttpResponse{.status = status, .body = formatChangeOutcome(outcome)};
+}
+
+std::string_view rejectionText(AnnouncementRejection reason)
+{
+    switch (reason) {
+    case AnnouncementRejection::InvalidName: return "the name is not valid";
+    case AnnouncementRejection::UnknownService: return "the service is not in the configuration";
+    case AnnouncementRejection::WrongFailureDomain: return "the failure domain is not the one of this instance";
+    case AnnouncementRejection::NameClash: return "another target of this name is being heard at another address";
+    case AnnouncementRejection::OutdatedStartMark: return "a newer process of this target has announced itself";
+    case AnnouncementRejection::NotServing: return "this instance is starting or stopping";
+    }
+    return "unknown reason";
+}
+
+std::string passedOnTarget(HttpRequest const &request)
+{
+    std::string target = request.path + "?" + passedOnParameter + "=1";
+    for (auto const &[name, value] : request.query)
+        target += "&" + encodeQueryValue(name) + "=" + encodeQueryValue(value);
+    return target;
+}
+
+} // namespace
+
+ControlApi::ControlApi(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, Instance &servedInstance,
+                       std::shared_ptr<ControlNode> controlNode, Metrics const &shownMetrics)
+    : runtime(ioRuntime)
+    , settings(daemonSettings)
+    , instance(servedInstance)
+    , node(std::move(controlNode))
+    , metrics(shownMetrics)
+    , operators(daemonSettings.operators)
+{
+}
+
+void ControlApi::handle(HttpRequest const &request, HttpRespond const &respond)
+{
+    bool const isPost = request.method == HttpMethod::Post;
+    std::string const &path = request.path;
+    if (isPost && path == "/v1/announce")
+        this->handleAnnouncement(request, respond);
+    else if (isPost && path == "/v1/changes")
+        this->handleChange(request, respond);
+    else if (isPost && path == "/v1/replication" && this->node != nullptr) {
+        this->node->handleReplicationMessage(request.body);
+        respond(HttpResponse{.body = "{}"});
+    } else if (isPost)
+        respond(errorResponse(statusNotFound, fmt::format("there is no POST {}", path)));
+    else if (path == "/v1/configuration")
+        respond(HttpResponse{.body = formatConfiguration(*this->instance.state().configuration.read())});
+    else if (path == "/v1/version")
+        respond(HttpResponse{.body = formatVersion(this->instance.state().configuration.read()->version)});
+    else if (path == "/v1/coverage")
+        this->handleCoverage(request, respond);
+    else if (path == "/v1/records")
+        respond(HttpResponse{.body = formatRecords(Records::of(this->instance.state()))});
+    else if (path == "/v1/status")
+        respond(HttpResponse{.body = formatStatus(this->instance, this->node == nullptr
+                                                                      ? std::nullopt
+                                                                      : std::optional(this->node->status()))});
+    else if (path == "/v1/explain")
+        respond(this->explain(request));
+    else if (path == "/v1/audit")
+        this->handleAudit(request, respond);
+    else if (path == "/metrics")
+        respond(HttpResponse{.contentType = "text/plain; version=0.0.4", .body = this->metrics.text()});
+    else
+        respond(errorResponse(statusNotFound, fmt::format("there is no GET {}", path)));
+}
+
+void ControlApi::handleAnnouncement(HttpRequest const &request, HttpRespond const &respond)
+{
+    auto const announcement = parseAnnouncement(request.body);
+    if (!announcement.ok()) {
+        respond(errorResponse(statusBadRequest, std::string(announcement.status().message())));
+        return;
+    }
+    auto const outcome = this->instance.handleAnnouncement(*announcement, IoRuntime::now());
+    if (auto const *const redirected = std::get_if<AnnouncementRedirected>(&outcome)) {
+        auto const member = this->instance.state().members.read(redirected->dispatcher);
+        if (member)
+            respond(HttpResponse{.body = fmt::format(R"({{"redirect":"{}"}})", member->value.httpEndpoint.toString())});
+        else
+            respond(errorResponse(statusUnavailable, "the dispatcher of the target is not known yet; try again"));
+        return;
+    }
+    if (auto const *const rejected = std::get_if<AnnouncementRejected>(&outcome))
+        respond(errorResponse(statusConflict, rejectionText(rejected->reason)));
+    else
+        respond(HttpResponse{.body = R"({"accepted":true})"});
+}
+
+std::vector<Endpoint> ControlApi::otherControlInstances() const
+{
+    std::vector<Endpoint> endpoints;
+    for (PeerSettings const &peer : this->settings.peers) {
+        if (peer.role == ControlRole::Control)
+            endpoints.push_back(peer.http);
+    }
+    return endpoints;
+}
+
+void ControlApi::handleChange(HttpRequest const &request, HttpRespond const &respond)
+{
+    auto const operatorName = this->operators.findByToken(request.bearerToken);
+    if (!operatorName) {
+        respond(errorResponse(statusUnauthorized, "the token belongs to no operator of this instance's settings; "
+                                                  "nothing was changed"));
+        return;
+    }
+    auto parsed = parseChangeRequest(request.body);
+    if (auto const *const errors = std::get_if<InputErrors>(&parsed)) {
+        respond(errorResponse(statusBadRequest, joinErrors(*errors)));
+        return;
+    }
+    auto &change = std::get<ChangeRequest>(parsed);
+    change.operatorName = *operatorName;
+    change.submittedAt = std::time(nullptr);
+    if (this->node != nullptr)
+        this->submitHere(change, request, respond);
+    else
+        this->passOnChange(request, this->otherControlInstances(), respond);
+}
+
+void ControlApi::submitHere(ChangeRequest const &change, HttpRequest const &request, HttpRespond const &respond)
+{
+    this->node->submit(change, [this, request, respond](absl::StatusOr<ChangeOutcome> const &outcome) {
+        if (outcome.ok()) {
+            respond(outcomeResponse(*outcome));
+            return;
+        }
+        if (absl::IsUnknown(outcome.status())) {
+            respond(errorResponse(statusGatewayTimeout, std::string(outcome.status().message())));
+            return;
+        }
+        auto const leader = this->node->status().leader;
+        auto const peer = std::ranges::find_if(this->settings.peers, [&](PeerSettings const &candidate) {
+            return leader && candidate.name == leader->instance;
+        });
+        bool const mayPassOn
+            = peer != this->settings.peers.end() && request.parameter(passedOnParameter).empty();
+        if (mayPassOn)
+            this->passOnChange(request, {peer->http}, respond);
+        else
+            respond(errorResponse(statusUnavailable, fmt::format("nothing was changed: {}",
+                                                                 std::string(outcome.status().message()))));
+    });
+}
+
+// Tries the servers one after the other. Only a server that could not be reached is passed over: after a timeout the
+// change may be under way, and the same request id makes a second try harmless but not the answer "not done" true.
+void ControlApi::passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond)
+{
+    if (servers.empty()) {
+        respond(errorResponse(statusUnavailable,
+                              "no control instance could take the change; nothing was changed by this instance"));
+        return;
+    }
+    Endpoint const server = servers.front();
+    servers.erase(servers.begin());
+    HttpCall const call{.server = server,
+                        .method = HttpMethod::Post,
+                        .target = this->node == nullptr ? request.path : passedOnTarget(request),
+                        .body = request.body,
+                        .bearerToken = request.bearerToken,
+                        .timeout = changeTimeout};
+    callHttp(this->runtime, call,
+             [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
+                 if (absl::IsDeadlineExceeded(response.status()))
+                     respond(errorResponse(statusGatewayTimeout,
+                                           "the control instance did not answer in time, so the outcome is not "
+                                           "known; resend the change with the same request id"));
+                 else if (!response.ok() || response->status == statusUnavailable)
+                     this->passOnChange(request, rest, respond);
+                 else
+                     respond(*response);
+             });
+}
+
+HttpResponse ControlApi::explain(HttpRequest const &request) const
+{
+    std::string const service = request.parameter("service");
+    if (service.empty() || (request.parameter("flow").empty() && request.parameter("caller").empty()))
+        return errorResponse(statusBadRequest, "give service and flow, or service, caller and number");
+    ServiceId const id = ServiceId::fromName(service);
+    std::uint64_t hash = 0;
+    if (!request.parameter("flow").empty())
+        hash = std::hash<FlowKey>{}(FlowKey{.service = id, .flow = numberOf(request.parameter("flow"), 0)});
+    else
+        hash = std::hash<RequestKey>{}(RequestKey{.service = id,
+                                                  .caller = numberOf(request.parameter("caller"), 0),
+                                                  .number = numberOf(request.parameter("number"), 0)});
+    return HttpResponse{.body = formatExplanation(explainRoute(this->instance.state(), service, hash))};
+}
+
+void ControlApi::handleAudit(HttpRequest const &request, HttpRespond const &respond)
+{
+    if (this->node == nullptr) {
+        this->passOnQuestion(request, this->otherControlInstances(), respond);
+        return;
+    }
+    std::size_t const limit = numberOf(request.parameter("limit"), defaultAuditLimit);
+    respond(HttpResponse{.body = formatAudit(*this->node->appliedState(), limit)});
+}
+
+void ControlApi::passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers,
+                                HttpRespond const &respond)
+{
+    if (servers.empty()) {
+        respond(errorResponse(statusUnavailable, "no control instance could be reached"));
+        return;
+    }
+    Endpoint const server = servers.front();
+    servers.erase(servers.begin());
+    callHttp(this->runtime, HttpCall{.server = server, .target = passedOnTarget(request)},
+             [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
+                 if (response.ok())
+                     respond(*response);
+                 else
+                     this->passOnQuestion(request, rest, respond);
+             });
+}
+
+namespace {
+
+// Collects the answers of all instances to one question about coverage.
+struct CoverageRound
+{
+    std::mutex mutex; // Guards answers and missing.
+    std::vector<Coverage> answers;
+    std::size_t missing = 0;
+};
+
+} // namespace
+
+// Instances that are dead as far as this one knows are asked too: one that is only cut off from here may serve, and
+// the operator must see it as unconfirmed.
+void ControlApi::handleCoverage(HttpRequest const &request, HttpRespond const &respond)
+{
+    std::uint64_t const ownVersion = this->instance.state().configuration.read()->version;
+    std::uint64_t const version = numberOf(request.parameter("version"), ownVersion);
+    auto const self = this->instance.state().ownStatus.read()->self;
+    auto const round = std::make_shared<CoverageRound>();
+    std::vector<MemberRecord> others;
+    for (auto const &[id, member] : this->instance.state().members.entries()) {
+        if (id != self.id)
+            others.push_back(member);
+    }
+    round->answers.push_back(
+        Coverage{.instance = self.name, .failureDomain = self.failureDomain, .version = ownVersion});
+    round->missing = others.size();
+    if (others.empty())
+        respond(HttpResponse{.body = formatCoverage(version, round->answers)});
+    for (MemberRecord const &member : others) {
+        HttpCall const call{
+            .server = member.httpEndpoint, .target = "/v1/version", .timeout = coverageTimeout};
+        callHttp(this->runtime, call, [round, member, version, respond](absl::StatusOr<HttpResponse> const &response) {
+            auto const answered = response.ok() ? parseVersion(response->body) : std::nullopt;
+            std::scoped_lock const lock(round->mutex);
+            round->answers.push_back(
+                Coverage{.instance = member.name, .failureDomain = member.failureDomain, .version = answered});
+            if (--round->missing > 0)
+                return;
+            std::ranges::sort(round->answers, {}, &Coverage::instance);
+            respond(HttpResponse{.body = formatCoverage(version, round->answers)});
+        });
+    }
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Services/almondwingd/ControlApi.h
@@ -0,0 +1,48 @@
+// The HTTP surface of the daemon: announcements of targets, changes and questions of operators, and what instances
+// fetch from each other.
+
+#pragma once
+
+#include "ControlNode.h"
+#include "OperatorRegister.h"
+
+#include <LibFrontEnd/HttpTypes.h>
+#include <LibFrontEnd/IoRuntime.h>
+#include <LibFrontEnd/Metrics.h>
+#include <LibInstance/Instance.h>
+#include <LibSettings/DaemonSettings.h>
+
+#include <memory>
+#include <vector>
+
+namespace almondwing {
+
+class ControlApi
+{
+public:
+    // `node` is null on instances without a data folder.
+    ControlApi(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, Instance &servedInstance,
+               std::shared_ptr<ControlNode> controlNode, Metrics const &shownMetrics);
+
+    void handle(HttpRequest const &request, HttpRespond const &respond);
+
+private:
+    void handleAnnouncement(HttpRequest const &request, HttpRespond const &respond);
+    void handleChange(HttpRequest const &request, HttpRespond const &respond);
+    void submitHere(ChangeRequest const &change, HttpRequest const &request, HttpRespond const &respond);
+    void passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond);
+    void handleCoverage(HttpRequest const &request, HttpRespond const &respond);
+    void handleAudit(HttpRequest const &request, HttpRespond const &respond);
+    void passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond);
+    HttpResponse explain(HttpRequest const &request) const;
+    std::vector<Endpoint> otherControlInstances() const;
+
+    IoRuntime &runtime;
+    DaemonSettings settings;
+    Instance &instance;
+    std::shared_ptr<ControlNode> node;
+    Metrics const &metrics;
+    OperatorRegister operators;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Services/almondwingd/ControlNode.cpp
@@ -0,0 +1,219 @@
+// Implements the control instance.
+
+#include "ControlNode.h"
+
+#include <LibConfigurationJson/ChangeJson.h>
+#include <LibConfigurationJson/StateJson.h>
+#include <LibControlWire/ReplicationCodec.h>
+#include <LibCore/Try.h>
+#include <LibFrontEnd/HttpClient.h>
+#include <LibReplication/FileStorage.h>
+#include <LibReplication/FolderDisk.h>
+
+#include <fmt/format.h>
+
+#include <random>
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+// The core asks for nothing finer than its heartbeat interval of 500 ms.
+constexpr Duration coreTickInterval = 50ms;
+
+constexpr Duration replicationTimeout = 2s;
+
+std::uint64_t randomNumber()
+{
+    thread_local std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::string firstErrorOf(InputErrors const &errors)
+{
+    return errors.empty() ? std::string("unknown error") : errors.front().toString();
+}
+
+} // namespace
+
+ControlNode::ControlNode(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, ControlNodeHooks nodeHooks)
+    : runtime(ioRuntime)
+    , cluster(daemonSettings.cluster)
+    , hooks(std::move(nodeHooks))
+    , queue(ioRuntime)
+{
+    for (PeerSettings const &peer : daemonSettings.peers) {
+        if (peer.role == ControlRole::Control)
+            this->controlInstances.emplace(peer.name, peer.http);
+    }
+}
+
+absl::StatusOr<std::shared_ptr<ControlNode>> ControlNode::open(IoRuntime &runtime, DaemonSettings const &settings,
+                                                               ControlNodeHooks hooks)
+{
+    DiskHooks disk = TRY(openFolderDisk(*settings.dataFolder));
+    auto const storage = TRY(FileStorage::open(std::move(disk), settings.instance, randomNumber, hooks.report));
+    std::shared_ptr<ControlNode> node(new ControlNode(runtime, settings, std::move(hooks)));
+    ReplicationSettings replication;
+    replication.controlInstances.push_back(settings.instance);
+    for (auto const &[name, endpoint] : node->controlInstances)
+        replication.controlInstances.push_back(name);
+    node->core.emplace(std::move(replication), storage->loaded(), storage->hooks(), node->coreHooks(),
+                       IoRuntime::now());
+    node->publishStatus();
+    return node;
+}
+
+ReplicationHooks ControlNode::coreHooks()
+{
+    return ReplicationHooks{
+        .send = [this](ReplicaEnvelope const &envelope) { this->send(envelope); },
+        .apply = [this](LogEntry const &entry) { this->apply(entry); },
+        .restore = [this](Snapshot const &snapshot) { this->restore(snapshot); },
+        .takeSnapshot = [this] { return formatConfigurationState(*this->machine.snapshot()); },
+        .resolveProposal
+        = [this](LogIndex index, ProposalOutcome outcome) { this->resolveProposal(index, outcome); },
+        .resolveRead =
+            [this](ReadToken token, absl::Status const &status) {
+                auto const waiting = this->waitingReads.extract(token);
+                if (!waiting.empty())
+                    waiting.mapped()(status);
+            },
+        .mayBootstrap = this->hooks.mayBootstrap,
+        .random = randomNumber,
+        .report = this->hooks.report};
+}
+
+void ControlNode::runOnQueue(std::function<void(ReplicationCore &)> work)
+{
+    this->queue.post([this, work = std::move(work)] {
+        work(*this->core);
+        this->publishStatus();
+    });
+}
+
+void ControlNode::start()
+{
+    this->runtime.runEvery(coreTickInterval, [this] {
+        this->runOnQueue([](ReplicationCore &replica) { replica.tick(IoRuntime::now()); });
+    });
+}
+
+void ControlNode::publishStatus()
+{
+    ReplicationStatus const status = this->core->status();
+    this->publishedStatus.update([&](auto const &) { return status; });
+    ReplicationCounters const counters = this->core->counters();
+    this->publishedCounters.update([&](auto const &) { return counters; });
+}
+
+void ControlNode::send(ReplicaEnvelope const &envelope)
+{
+    auto const receiver = this->controlInstances.find(envelope.to.instance);
+    if (receiver == this->controlInstances.end())
+        return;
+    HttpCall const call{.server = receiver->second,
+                        .method = HttpMethod::Post,
+                        .target = "/v1/replication",
+                        .body = encodeReplicaEnvelope(this->cluster, envelope),
+                        .timeout = replicationTimeout};
+    // A lost message is repeated by the core, so the result of the call does not matter.
+    callHttp(this->runtime, call, [](absl::StatusOr<HttpResponse> const &) {});
+}
+
+void ControlNode::handleReplicationMessage(std::string const &body)
+{
+    auto envelope = decodeReplicaEnvelope(this->cluster, body);
+    if (!envelope.ok()) {
+        this->hooks.report(Event::InputDropped, fmt::format("/v1/replication: {}",
+                                                            std::string(envelope.status().message())));
+        return;
+    }
+    this->runOnQueue([received = *std::move(envelope)](ReplicationCore &replica) {
+        replica.handleMessage(received, IoRuntime::now());
+    });
+}
+
+void ControlNode::apply(LogEntry const &entry)
+{
+    auto const parsed = parseChangeRequest(entry.payload);
+    if (auto const *const errors = std::get_if<InputErrors>(&parsed)) {
+        // Every replica sees the same bytes, so all of them pass over the entry.
+        this->hooks.report(Event::ConfigurationRefused,
+                           fmt::format("log entry {} is not a change: {}", entry.index, firstErrorOf(*errors)));
+        return;
+    }
+    ChangeOutcome const outcome = this->machine.apply(entry.index, std::get<ChangeRequest>(parsed));
+    if (this->waitingChanges.contains(entry.index))
+        this->appliedOutcomes.insert_or_assign(entry.index, outcome);
+    if (std::holds_alternative<ChangeAccepted>(outcome))
+        this->hooks.configurationCommitted(this->machine.snapshot()->configuration);
+}
+
+void ControlNode::restore(Snapshot const &snapshot)
+{
+    auto const parsed = parseConfigurationState(snapshot.state);
+    auto const *const state = std::get_if<ConfigurationState>(&parsed);
+    if (state == nullptr) {
+        this->hooks.report(Event::ConfigurationRefused,
+                           fmt::format("snapshot at {} does not decode: {}", snapshot.index,
+                                       firstErrorOf(std::get<InputErrors>(parsed))));
+        return;
+    }
+    if (this->machine.restore(*state) == RestoreOutcome::Restored)
+        this->hooks.configurationCommitted(state->configuration);
+}
+
+void ControlNode::submit(ChangeRequest request, ChangeResult result)
+{
+    this->runOnQueue([this, change = std::move(request), resolve = std::move(result)](ReplicationCore &) {
+        this->propose(change, resolve);
+    });
+}
+
+void ControlNode::propose(ChangeRequest const &request, ChangeResult const &result)
+{
+    auto const proposed = this->core->propose(formatChangeRequest(request), IoRuntime::now());
+    if (!proposed.ok()) {
+        result(proposed.status());
+        return;
+    }
+    // A single voter commits inside propose(); its outcome is then in the state already.
+    this->waitingChanges.insert_or_assign(proposed->index, result);
+    if (this->core->status().appliedIndex >= proposed->index)
+        this->resolveProposal(proposed->index, ProposalOutcome::Committed);
+}
+
+void ControlNode::resolveProposal(LogIndex index, ProposalOutcome outcome)
+{
+    auto const waiting = this->waitingChanges.extract(index);
+    if (waiting.empty())
+        return;
+    auto const applied = this->appliedOutcomes.extract(index);
+    if (outcome == ProposalOutcome::Committed && !applied.empty())
+        waiting.mapped()(applied.mapped());
+    else
+        waiting.mapped()(absl::UnknownError(
+            "the leader lost its majority or its disk while the change was under way; resend it with the same request "
+            "id to learn the outcome"));
+}
+
+void ControlNode::readConfirmed(std::function<void(absl::StatusOr<Cell<ConfigurationState>::Snapshot>)> result)
+{
+    this->runOnQueue([this, resolve = std::move(result)](ReplicationCore &replica) {
+        auto const token = replica.confirmLeadership(IoRuntime::now());
+        if (!token.ok()) {
+            resolve(token.status());
+            return;
+        }
+        this->waitingReads.insert_or_assign(*token, [this, resolve](absl::Status const &status) {
+            if (status.ok())
+                resolve(this->machine.snapshot());
+            else
+                resolve(status);
+        });
+    });
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Services/almondwingd/DaemonMetrics.h
@@ -0,0 +1,21 @@
+// The metrics of a daemon, read from its parts.
+
+#pragma once
+
+#include "ControlNode.h"
+#include "PacketPort.h"
+
+#include <LibFrontEnd/EventLog.h>
+#include <LibFrontEnd/Metrics.h>
+#include <LibInstance/Instance.h>
+
+#include <vector>
+
+namespace almondwing {
+
+std::vector<MetricSample> sampleInstance(Instance const &instance);
+std::vector<MetricSample> samplePackets(PacketPortCounters const &counters);
+std::vector<MetricSample> sampleEvents(EventLog const &log);
+std::vector<MetricSample> sampleReplication(ReplicationStatus const &status, ReplicationCounters const &counters);
+
+} // namespace almondwing
--- /dev/null
+++ b/Services/almondwingd/PacketPort.h
@@ -0,0 +1,71 @@
+// Binds the three UDP sockets and the codec to the instance: datagrams become typed events, hooks become datagrams.
+
+#pragma once
+
+#include <LibFrontEnd/UdpSocket.h>
+#include <LibInstance/Instance.h>
+#include <LibSettings/DaemonSettings.h>
+#include <LibWire/WireCodec.h>
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace almondwing {
+
+struct PacketPortCounters
+{
+    std::uint64_t entryDropped = 0; // Did not decode, or belongs to another cluster or socket.
+    std::uint64_t targetDropped = 0;
+    std::uint64_t peerDropped = 0;
+    std::uint64_t encodeFailures = 0;
+    UdpCounters entry;
+    UdpCounters target;
+    UdpCounters peer;
+    std::uint64_t controlBytesSent = 0; // Of peer datagrams without forwarded messages of callers.
+
+    friend bool operator==(PacketPortCounters const &, PacketPortCounters const &) = default;
+};
+
+class PacketPort
+{
+public:
+    static absl::StatusOr<std::unique_ptr<PacketPort>> open(IoRuntime &runtime, DaemonSettings const &settings,
+                                                            EventReporter report);
+
+    // The hooks that send through this port. Valid as long as the port is.
+    Outbox outbox();
+
+    // Starts to hand datagrams to the instance.
+    void start(Instance &instance);
+    void close();
+
+    PacketPortCounters counters() const;
+
+private:
+    PacketPort(WireCodec wireCodec, InstanceId instanceId, EventReporter reporter);
+
+    void sendToInstance(InstanceId receiver, PeerMessage const &message);
+    template<typename Message>
+    void encodeAndSend(UdpSocket &socket, Endpoint to, Message const &message);
+    void drop(std::atomic<std::uint64_t> &counter, char const *socket, Endpoint from, absl::Status const &reason);
+
+    WireCodec codec;
+    InstanceId self;
+    EventReporter report;
+    std::shared_ptr<UdpSocket> entry;
+    std::shared_ptr<UdpSocket> target;
+    std::shared_ptr<UdpSocket> peer;
+    Instance *instance = nullptr; // Set by start().
+    std::atomic<std::uint64_t> entryDropped = 0;
+    std::atomic<std::uint64_t> targetDropped = 0;
+    std::atomic<std::uint64_t> peerDropped = 0;
+    std::atomic<std::uint64_t> encodeFailures = 0;
+    std::atomic<std::uint64_t> controlBytesSent = 0;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Services/almondwingd/RecordsJson.h
@@ -0,0 +1,33 @@
+// The JSON form of member and target records, for instances that fetch them, and of announcements of targets.
+
+#pragma once
+
+#include <LibMessages/PeerMessages.h>
+#include <LibMessages/TargetAnnouncement.h>
+#include <LibState/Blackboard.h>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+struct Records
+{
+    std::vector<MemberRecord> members;
+    std::vector<TargetRecord> targets;
+
+    static Records of(Blackboard const &blackboard);
+
+    friend bool operator==(Records const &, Records const &) = default;
+};
+
+std::string formatRecords(Records const &records);
+
+// Refuses the whole text if any record of it is incomplete.
+absl::StatusOr<Records> parseRecords(std::string const &text);
+
+absl::StatusOr<TargetAnnouncement> parseAnnouncement(std::string const &text);
+
+} // namespace almondwing
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -196,9 +196,10 @@
             static_cast<std::uint16_t>((bucket + (this->areBucketsMoved ? 1 : 0)) % this->targets.size());
         bool const isChanged = before != nullptr && before->buckets[bucket] != routes->buckets[bucket];
         if (isChanged)
-            routes->recentMoves.push_back(BucketMove{.bucket = static_cast<std::uint16_t>(bucket),
-                                                     .previous = before->targets[before->buckets[bucket]].record.id,
-                                                     .at = this->now});
+            routes->recentMoves.push_back(
+                BucketMove{.bucket = static_cast<std::uint16_t>(bucket),
+                           .previous = before->targets[before->buckets[bucket]].record.id,
+                           .at = this->now});
     }
     view.services[this->service] = routes;
     return view;
