StandIns: Add stand-ins for the fabric, targets and callers

The daemon needs surroundings that lose, delay, overload and lie, and tests need witnesses that check every byte and every run.

Add Tests/StandIns with the programs fabric-stand-in, target-stand-in and caller-stand-in. Their decisions (NAT and faults of the fabric, flows and runs of a target, flows and requests of a caller, announcements) are in LibStandIns without sockets or clocks; the tests run them under simulated time.

--- /dev/null
+++ b/Tests/StandIns/FabricStandIn.cpp
@@ -0,0 +1,208 @@
+// fabric-stand-in: stands for the network between callers and instances. Any packet of a caller may go to any
+// instance; a caller is known to the instances by an address that the fabric gives it, as behind a NAT.
+
+#include <LibBlackboard/ShardedTable.h>
+#include <LibStandIns/EventLoop.h>
+#include <LibStandIns/FabricModel.h>
+#include <LibStandIns/Http.h>
+#include <LibStandIns/SharedRandom.h>
+#include <LibStandIns/UdpPort.h>
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::size_t threadCount = 2;
+constexpr Endpoint anyLoopbackPort{.address = 0x7f000001, .port = 0};
+
+struct Options
+{
+    std::vector<std::string> services;
+    std::vector<std::string> instances;
+    std::string control = "127.0.0.1:0";
+    std::string cluster; // The fabric reads no packet; the option keeps the three command lines alike.
+    std::uint64_t seed = 1;
+    LinkQuality quality;
+    std::int64_t maximumDelayMs = 20;
+};
+
+struct NatKey
+{
+    Endpoint service;
+    Endpoint caller;
+
+    friend bool operator==(NatKey, NatKey) = default;
+};
+
+struct HashNatKey
+{
+    std::size_t operator()(NatKey key) const noexcept
+    {
+        return combineHashes(std::hash<Endpoint>{}(key.service), std::hash<Endpoint>{}(key.caller));
+    }
+};
+
+} // namespace
+
+} // namespace almondwing
+
+template<>
+struct std::hash<almondwing::NatKey> : almondwing::HashNatKey
+{
+};
+
+namespace almondwing {
+
+namespace {
+
+class Fabric
+{
+public:
+    Fabric(EventLoop &eventLoop, FabricModel &fabricModel) : loop(eventLoop), model(fabricModel) { }
+
+    // Returns the address that callers use.
+    absl::StatusOr<Endpoint> addService(Endpoint address)
+    {
+        std::size_t const index = this->services.size();
+        auto port =
+            UdpPort::open(this->loop, address, [this, index](Endpoint from, std::string_view datagram) {
+                this->forward(*this->services[index], from, datagram);
+            });
+        if (!port.ok())
+            return port.status();
+        this->services.push_back(*port);
+        return (*port)->localEndpoint();
+    }
+
+private:
+    using Port = std::shared_ptr<UdpPort>;
+
+    void forward(UdpPort &service, Endpoint caller, std::string_view datagram)
+    {
+        Port const port = this->natPort(service, caller);
+        if (!port)
+            return;
+        for (Delivery const &delivery : this->model.planForward(caller))
+            this->sendAfter(delivery.delay, *port, delivery.instance, datagram);
+    }
+
+    void returnToCaller(UdpPort &service, Endpoint from, Endpoint caller, std::string_view datagram)
+    {
+        for (Delivery const &delivery : this->model.planReply(from, caller))
+            this->sendAfter(delivery.delay, service, caller, datagram);
+    }
+
+    // The packets of one service come one at a time, so a caller never gets two ports for it.
+    Port natPort(UdpPort &service, Endpoint caller)
+    {
+        NatKey const key{.service = service.localEndpoint(), .caller = caller};
+        if (auto const known = this->ports.read(key))
+            return known->value;
+        auto const port = UdpPort::open(this->loop, anyLoopbackPort,
+                                        [this, &service, caller](Endpoint from, std::string_view datagram) {
+                                            this->returnToCaller(service, from, caller, datagram);
+                                        });
+        if (!port.ok()) {
+            std::cerr << "packet lost: " << port.status().message() << '\n';
+            return nullptr;
+        }
+        this->ports.write(key, *port, 0);
+        return *port;
+    }
+
+    // The ports live as long as the fabric.
+    void sendAfter(Duration delay, UdpPort &port, Endpoint to, std::string_view datagram)
+    {
+        if (delay == Duration{}) {
+            port.send(to, std::string(datagram));
+            return;
+        }
+        this->loop.schedule(delay, [&port, to, copy = std::string(datagram)] { port.send(to, copy); });
+    }
+
+    EventLoop &loop;
+    FabricModel &model;
+    std::vector<Port> services; // Complete before the event loop runs.
+    ShardedTable<NatKey, Port> ports;
+};
+
+std::vector<Endpoint> parseAll(std::vector<std::string> const &texts)
+{
+    std::vector<Endpoint> endpoints;
+    for (std::string const &text : texts) {
+        auto const endpoint = parseListenEndpoint(text);
+        if (!endpoint.ok())
+            throw CLI::ValidationError(std::string(endpoint.status().message()));
+        endpoints.push_back(*endpoint);
+    }
+    return endpoints;
+}
+
+void addOptions(CLI::App &app, Options &options)
+{
+    app.add_option("--service", options.services, "Address that callers send to; repeat for more")
+        ->required();
+    app.add_option("--instance", options.instances, "Entry socket of an instance; repeat for more");
+    app.add_option("--control", options.control, "Address of the control surface (HTTP)");
+    app.add_option("--cluster", options.cluster, "Accepted and not used");
+    app.add_option("--seed", options.seed, "Seed of all random choices");
+    app.add_option("--loss", options.quality.loss, "Share of packets lost")->check(CLI::Range(0.0, 1.0));
+    app.add_option("--duplicate", options.quality.duplicate, "Share of packets duplicated")
+        ->check(CLI::Range(0.0, 1.0));
+    app.add_option("--delay", options.quality.delay, "Share of packets held back")
+        ->check(CLI::Range(0.0, 1.0));
+    app.add_option("--maximum-delay-ms", options.maximumDelayMs, "Longest delay of a held back packet")
+        ->check(CLI::Range(0, 60'000));
+}
+
+int runFabric(Options const &options)
+{
+    EventLoop loop;
+    LinkQuality quality = options.quality;
+    quality.maximumDelay = std::chrono::milliseconds(options.maximumDelayMs);
+    FabricModel model(parseAll(options.instances), quality, makeSharedRandom(options.seed));
+    Fabric fabric(loop, model);
+    std::string services;
+    for (Endpoint const service : parseAll(options.services)) {
+        auto const bound = fabric.addService(service);
+        if (!bound.ok()) {
+            std::cerr << bound.status().message() << '\n';
+            return EXIT_FAILURE;
+        }
+        services += fmt::format(R"({}"{}")", services.empty() ? "" : ",", bound->toString());
+    }
+    auto const control = HttpServer::open(loop, parseAll({options.control}).front(),
+                                          [&](HttpRequest const &request) { return model.control(request); });
+    if (!control.ok()) {
+        std::cerr << control.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << fmt::format(R"({{"ready":true,"control":"{}","services":[{}]}})",
+                             (*control)->localEndpoint().toString(), services)
+              << std::endl;
+    loop.run(threadCount);
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace almondwing
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stands for the network between callers and instances.");
+    almondwing::Options options;
+    almondwing::addOptions(app, options);
+    try {
+        app.parse(argc, argv);
+        return almondwing::runFabric(options);
+    } catch (CLI::ParseError const &error) {
+        return app.exit(error);
+    }
+}
--- /dev/null
+++ b/Tests/StandIns/LibStandIns/CallerRequests.cpp
@@ -0,0 +1,195 @@
+// Implements the requests of a caller stand-in.
+
+#include <LibStandIns/CallerRequests.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+// Keeps a ResendParts message well within a datagram.
+constexpr std::size_t maximumPartsAsked = 100;
+
+// After this many unanswered ResendParts the kept answer is assumed lost, and the request is sent again.
+constexpr std::uint32_t resendRequestsBeforeAttempt = 3;
+
+} // namespace
+
+void CallerRequests::start()
+{
+    if (this->plan.requests == 0) {
+        this->hooks.allRequestsEnded();
+        return;
+    }
+    if (this->plan.requestRate > 0) {
+        this->startDue(this->hooks.now());
+        return;
+    }
+    for (std::uint64_t index = 0; index < std::max<std::uint64_t>(1, this->plan.concurrency); ++index)
+        this->startNext();
+}
+
+void CallerRequests::startDue(Timestamp begin)
+{
+    // Against the begin, so that late timers don't lower the rate.
+    auto const rate = static_cast<Duration::rep>(this->plan.requestRate);
+    auto const due = static_cast<std::uint64_t>((this->hooks.now() - begin) * rate / Duration(1s)) + 1;
+    std::uint64_t started = this->progress.read()->started;
+    for (; started < std::min(due, this->plan.requests); ++started)
+        this->startNext();
+    if (started == this->plan.requests)
+        return;
+    Timestamp const next = begin + Duration(1s) * static_cast<Duration::rep>(started) / rate;
+    this->hooks.schedule(std::max(next - this->hooks.now(), Duration{}),
+                         [this, begin] { this->startDue(begin); });
+}
+
+void CallerRequests::startNext()
+{
+    std::uint64_t number = 0;
+    this->progress.update([&](Progress next) {
+        number = next.started < this->plan.requests ? ++next.started : 0;
+        return next;
+    });
+    if (number == 0)
+        return;
+    RequestKey const key{.service = this->plan.service, .caller = this->plan.callerId, .number = number};
+    CallerRequest request;
+    request.startedAt = this->hooks.now();
+    request.port = number % this->plan.ports;
+    this->board.requests.write(key, request, 0);
+    this->send(request.startedAt, key, request);
+    this->scheduleCheck(key);
+    this->hooks.schedule(this->plan.deadline + this->plan.grace, [this, key] {
+        this->end(this->hooks.now(), key, CallerOutcome::NoOutcome, Reason::None);
+    });
+}
+
+void CallerRequests::send(Timestamp now, RequestKey const &key, CallerRequest const &request)
+{
+    Duration const timeLeft = request.startedAt + this->plan.deadline - now;
+    this->hooks.send(request.port,
+                     Request{.key = key,
+                             .attempt = request.attempt,
+                             .requestClass = this->plan.requestClass,
+                             .idempotency = this->plan.idempotency,
+                             .timeLeft = std::max(timeLeft, Duration{}),
+                             .payload = this->plan.order.toPayload()});
+}
+
+void CallerRequests::scheduleCheck(RequestKey const &key)
+{
+    this->hooks.schedule(this->plan.resendAfter, [this, key] { this->checkProgress(key); });
+}
+
+void CallerRequests::checkProgress(RequestKey const &key)
+{
+    bool hasProgress = false;
+    bool isNewAttempt = false;
+    auto const request = this->board.requests.update(
+        key, [&](std::optional<CallerRequest> known) -> std::optional<CallerRequest> {
+            if (!known || known->outcome != CallerOutcome::Pending)
+                return known;
+            hasProgress = known->receivedParts > known->partsAtLastCheck;
+            known->partsAtLastCheck = known->receivedParts;
+            known->resendRequests = hasProgress ? 0 : known->resendRequests + 1;
+            isNewAttempt = !hasProgress
+                && (known->answers.empty() || known->resendRequests > resendRequestsBeforeAttempt);
+            known->attempt += isNewAttempt ? 1 : 0;
+            known->resendRequests = isNewAttempt ? 0 : known->resendRequests;
+            return known;
+        });
+    if (!request || request->outcome != CallerOutcome::Pending)
+        return;
+    if (isNewAttempt) {
+        count(this->board, [](CallerCounts &counts) { ++counts.requestResends; });
+        this->send(this->hooks.now(), key, *request);
+    } else if (!hasProgress) {
+        this->askForParts(key, *request);
+    }
+    this->scheduleCheck(key);
+}
+
+void CallerRequests::askForParts(RequestKey const &key, CallerRequest const &request)
+{
+    for (auto const &[tryId, answer] : request.answers) {
+        count(this->board, [](CallerCounts &counts) { ++counts.partResends; });
+        this->hooks.send(
+            request.port,
+            ResendParts{.key = key, .tryId = tryId, .parts = answer.missingParts(maximumPartsAsked)});
+    }
+}
+
+void CallerRequests::handle(Timestamp now, CallerReply const &reply)
+{
+    if (auto const *const part = std::get_if<AnswerPart>(&reply))
+        this->handlePart(now, *part);
+    else if (auto const *const notRun = std::get_if<NotRun>(&reply))
+        this->end(now, notRun->key, CallerOutcome::NotRun, notRun->reason);
+    else if (auto const *const unknown = std::get_if<OutcomeUnknown>(&reply))
+        this->end(now, unknown->key, CallerOutcome::Unknown, unknown->reason);
+}
+
+void CallerRequests::handlePart(Timestamp now, AnswerPart const &part)
+{
+    auto const request = this->board.requests.update(
+        part.key, [&](std::optional<CallerRequest> known) -> std::optional<CallerRequest> {
+            if (!known || known->outcome != CallerOutcome::Pending)
+                return known;
+            AnswerAssembly &answer = known->answers[part.tryId];
+            std::size_t const before = answer.receivedParts();
+            answer = answer.with(part);
+            known->receivedParts += answer.receivedParts() - before;
+            return known;
+        });
+    if (!request) {
+        // The answer to a request of another caller.
+        count(this->board, [](CallerCounts &counts) { ++counts.wrongAnswers; });
+        return;
+    }
+    if (request->outcome == CallerOutcome::NotRun)
+        count(this->board, [](CallerCounts &counts) { ++counts.answeredAfterNotRun; });
+    if (request->outcome == CallerOutcome::Pending)
+        this->checkAnswer(now, part.key, request->answers.at(part.tryId));
+}
+
+void CallerRequests::checkAnswer(Timestamp now, RequestKey const &key, AnswerAssembly const &answer)
+{
+    AssemblyState const state = answer.state();
+    if (state == AssemblyState::Incomplete)
+        return;
+    std::size_t const size = this->plan.order.answerSize;
+    bool const isRight = state == AssemblyState::Complete && answer.body() == answerBytes(key, size, 0, size);
+    if (!isRight)
+        count(this->board, [](CallerCounts &counts) { ++counts.wrongAnswers; });
+    this->end(now, key, CallerOutcome::Answered, Reason::None);
+}
+
+void CallerRequests::end(Timestamp now, RequestKey const &key, CallerOutcome outcome, Reason reason)
+{
+    auto const known = this->board.requests.read(key);
+    if (!known || known->value.outcome != CallerOutcome::Pending)
+        return;
+    CallerRequest ended = known->value;
+    ended.outcome = outcome;
+    ended.reason = reason;
+    ended.endedAt = now;
+    ended.answers.clear();
+    if (this->board.requests.write(key, ended, known->version) == WriteOutcome::Conflict) {
+        this->end(now, key, outcome, reason);
+        return;
+    }
+    this->hooks.requestEnded(key, ended);
+    std::uint64_t endedCount = 0;
+    this->progress.update([&](Progress next) {
+        endedCount = ++next.ended;
+        return next;
+    });
+    if (endedCount == this->plan.requests)
+        this->hooks.allRequestsEnded();
+    if (this->plan.requestRate == 0)
+        this->startNext();
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/StandIns/LibStandIns/TargetReports.cpp
@@ -0,0 +1,72 @@
+// Implements the reports of a target stand-in.
+
+#include <LibStandIns/TargetReports.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+constexpr unsigned statusUnavailable = 503;
+
+} // namespace
+
+std::optional<HttpAnswer> answerHealth(TargetBehaviour const &behaviour, Timestamp now)
+{
+    if (behaviour.isFrozen(now) || behaviour.reportMode == ReportMode::NoAnswer)
+        return std::nullopt;
+    if (behaviour.reportMode == ReportMode::AlwaysUnhealthy)
+        return HttpAnswer{.status = statusUnavailable, .body = R"({"status":"unhealthy"})"};
+    return HttpAnswer{.status = 200, .body = R"({"status":"healthy"})"};
+}
+
+std::optional<HttpAnswer> answerLoad(TargetBehaviour const &behaviour, TargetTraits const &traits,
+                                     TargetLoad load, Timestamp now)
+{
+    if (behaviour.isFrozen(now) || behaviour.reportMode == ReportMode::NoAnswer)
+        return std::nullopt;
+    double const share = static_cast<double>(load.running) / std::max(1U, traits.slots);
+    nlohmann::json const json{{"load", behaviour.reportedLoad.value_or(share)},
+                              {"running", load.running},
+                              {"slots", traits.slots},
+                              {"connections", load.openFlows},
+                              {"connectionLimit", traits.connections}};
+    return HttpAnswer{.status = 200, .body = json.dump()};
+}
+
+std::string announcementJson(TargetAnnouncement const &announcement)
+{
+    bool const isLeaving = announcement.state == AnnouncedState::Leaving;
+    nlohmann::json const json{{"name", announcement.name},
+                              {"service", announcement.service},
+                              {"failureDomain", announcement.failureDomain},
+                              {"packetEndpoint", announcement.packetEndpoint.toString()},
+                              {"httpEndpoint", announcement.httpEndpoint.toString()},
+                              {"startMark", announcement.startMark},
+                              {"state", isLeaving ? "leaving" : "serving"}};
+    return json.dump();
+}
+
+std::string countsJson(TargetCounts const &counts, TargetLoad load)
+{
+    auto const lastWork = std::chrono::duration_cast<std::chrono::milliseconds>(counts.lastWorkAfterLeaving);
+    nlohmann::json const json{{"running", load.running},
+                              {"openFlows", load.openFlows},
+                              {"flowsOpened", counts.flowsOpened},
+                              {"flowsRefused", counts.flowsRefused},
+                              {"runsStarted", counts.runsStarted},
+                              {"runsAnswered", counts.runsAnswered},
+                              {"runsShed", counts.runsShed},
+                              {"runsCancelled", counts.runsCancelled},
+                              {"runsExpired", counts.runsExpired},
+                              {"overfilledWhileCold", counts.overfilledWhileCold},
+                              {"foreignPackets", counts.foreignPackets},
+                              {"workWhileLeaving", counts.workWhileLeaving},
+                              {"lastWorkAfterLeavingMs", lastWork.count()}};
+    return json.dump();
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/StandIns/LibStandIns/TargetRuns.cpp
@@ -0,0 +1,228 @@
+// Implements the runs of a target stand-in.
+
+#include <LibStandIns/TargetRuns.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Duration keepTriesFor = 120s;
+constexpr Duration retryAfterShed = 100ms;
+
+bool holdsSlot(TryState state)
+{
+    return state == TryState::Running || state == TryState::Answering;
+}
+
+} // namespace
+
+void TargetRuns::handleRun(Timestamp now, Endpoint from, RunRequest const &message)
+{
+    if (auto const known = this->board.tries.read(message.tryId)) {
+        this->repeat(from, message, known->value);
+        return;
+    }
+    auto const behaviour = this->board.behaviour.read();
+    if (behaviour->admission == Admission::ShedEverything || message.timeLeft <= Duration{}) {
+        this->shed(now, from, message);
+        return;
+    }
+    this->start(now, from, message);
+}
+
+void TargetRuns::repeat(Endpoint from, RunRequest const &message, TargetTry const &known)
+{
+    switch (known.state) {
+    case TryState::Running:
+    case TryState::Answering:
+        this->hooks.send(from, RequestStarted{.key = message.key, .tryId = message.tryId});
+        return;
+    case TryState::Answered:
+        this->board.tries.update(message.tryId, [from](std::optional<TargetTry> entry) {
+            if (entry)
+                entry->from = from;
+            return entry;
+        });
+        this->sendBurst(message.tryId, 0);
+        return;
+    case TryState::Shed:
+        this->hooks.send(from,
+                         Shed{.key = message.key, .tryId = message.tryId, .retryAfter = retryAfterShed});
+        return;
+    case TryState::Cancelled:
+    case TryState::Expired:
+        // It may have run in part, so nothing true can be said.
+        return;
+    }
+}
+
+void TargetRuns::shed(Timestamp now, Endpoint from, RunRequest const &message)
+{
+    count(this->board, [](TargetCounts &counts) { ++counts.runsShed; });
+    TargetTry const entry{
+        .key = message.key, .state = TryState::Shed, .from = from, .answerSize = 0, .changedAt = now};
+    this->board.tries.write(message.tryId, entry, 0);
+    this->hooks.send(from, Shed{.key = message.key, .tryId = message.tryId, .retryAfter = retryAfterShed});
+}
+
+void TargetRuns::start(Timestamp now, Endpoint from, RunRequest const &message)
+{
+    SlotGrant const grant = this->takeSlot(now);
+    if (grant == SlotGrant::None) {
+        this->shed(now, from, message);
+        return;
+    }
+    WorkOrder const order = WorkOrder::parse(message.payload, this->traits.defaultOrder);
+    TargetTry const entry{.key = message.key,
+                          .state = TryState::Running,
+                          .from = from,
+                          .answerSize = order.answerSize,
+                          .changedAt = now};
+    if (this->board.tries.write(message.tryId, entry, 0) == WriteOutcome::Conflict) {
+        this->releaseSlot();
+        return;
+    }
+    this->hooks.recordStart(message);
+    countNewWork(this->board, now);
+    count(this->board, [grant](TargetCounts &counts) {
+        ++counts.runsStarted;
+        counts.overfilledWhileCold += grant == SlotGrant::Overfilled ? 1 : 0;
+    });
+    this->hooks.send(from, RequestStarted{.key = message.key, .tryId = message.tryId});
+    Duration const serviceTime =
+        order.serviceTime * (grant == SlotGrant::Overfilled ? this->traits.coldSlowdown : 1U);
+    if (serviceTime > message.timeLeft)
+        this->hooks.schedule(message.timeLeft, [this, tryId = message.tryId] { this->expireRun(tryId); });
+    else
+        this->hooks.schedule(serviceTime, [this, tryId = message.tryId] { this->finishRun(tryId); });
+}
+
+TargetRuns::SlotGrant TargetRuns::takeSlot(Timestamp now)
+{
+    bool const isCold = this->board.behaviour.read()->isCold(now);
+    SlotGrant grant = SlotGrant::None;
+    changeLoad(this->board, now, [&](TargetLoad load) {
+        grant = SlotGrant::None;
+        if (load.running >= this->traits.slots)
+            return load;
+        bool const isOverfilled = isCold && load.running >= this->traits.coldSlots;
+        grant = isOverfilled ? SlotGrant::Overfilled : SlotGrant::Normal;
+        ++load.running;
+        return load;
+    });
+    return grant;
+}
+
+void TargetRuns::releaseSlot()
+{
+    changeLoad(this->board, this->hooks.now(), [](TargetLoad load) {
+        --load.running;
+        return load;
+    });
+}
+
+bool TargetRuns::moveState(std::uint64_t tryId, TryState expected, TryState next)
+{
+    auto const known = this->board.tries.read(tryId);
+    if (!known || known->value.state != expected)
+        return false;
+    TargetTry changed = known->value;
+    changed.state = next;
+    changed.changedAt = this->hooks.now();
+    if (this->board.tries.write(tryId, changed, known->version) == WriteOutcome::Conflict)
+        return this->moveState(tryId, expected, next);
+    return true;
+}
+
+void TargetRuns::finishRun(std::uint64_t tryId)
+{
+    if (this->moveState(tryId, TryState::Running, TryState::Answering))
+        this->sendBurst(tryId, 0);
+}
+
+void TargetRuns::expireRun(std::uint64_t tryId)
+{
+    if (!this->moveState(tryId, TryState::Running, TryState::Expired))
+        return;
+    this->releaseSlot();
+    count(this->board, [](TargetCounts &counts) { ++counts.runsExpired; });
+}
+
+void TargetRuns::sendBurst(std::uint64_t tryId, std::uint32_t firstPart)
+{
+    Duration const frozenFor = this->board.behaviour.read()->frozenUntil - this->hooks.now();
+    if (frozenFor > Duration{}) {
+        this->hooks.schedule(frozenFor, [this, tryId, firstPart] { this->sendBurst(tryId, firstPart); });
+        return;
+    }
+    auto const known = this->board.tries.read(tryId);
+    if (!known || (known->value.state != TryState::Answering && known->value.state != TryState::Answered))
+        return;
+    TargetTry const &entry = known->value;
+    std::uint32_t const partCount = answerPartCount(entry.answerSize);
+    std::uint32_t const endPart = std::min(partCount, firstPart + this->traits.burstParts);
+    for (std::uint32_t part = firstPart; part < endPart; ++part)
+        this->hooks.send(entry.from, makeAnswerPart(entry.key, tryId, entry.answerSize, part));
+    if (endPart < partCount) {
+        this->hooks.schedule(this->traits.burstInterval,
+                             [this, tryId, endPart] { this->sendBurst(tryId, endPart); });
+        return;
+    }
+    if (!this->moveState(tryId, TryState::Answering, TryState::Answered))
+        return;
+    this->releaseSlot();
+    count(this->board, [](TargetCounts &counts) { ++counts.runsAnswered; });
+}
+
+void TargetRuns::handleCancel(Timestamp now, Endpoint from, CancelRequest const &message)
+{
+    // A cancellation that overtook its run must still prevent it.
+    TargetTry const neverStarted{
+        .key = message.key, .state = TryState::Shed, .from = from, .answerSize = 0, .changedAt = now};
+    if (this->board.tries.write(message.tryId, neverStarted, 0) == WriteOutcome::Written) {
+        this->hooks.send(from, Shed{.key = message.key, .tryId = message.tryId, .retryAfter = Duration{}});
+        return;
+    }
+    bool const isCancelled = this->moveState(message.tryId, TryState::Running, TryState::Cancelled)
+        || this->moveState(message.tryId, TryState::Answering, TryState::Cancelled);
+    if (!isCancelled)
+        return;
+    this->releaseSlot();
+    count(this->board, [](TargetCounts &counts) { ++counts.runsCancelled; });
+}
+
+void TargetRuns::handleResend(Endpoint from, ResendParts const &message)
+{
+    auto const known = this->board.tries.read(message.tryId);
+    if (!known || known->value.key != message.key)
+        return;
+    TargetTry const &entry = known->value;
+    if (entry.state != TryState::Answered && entry.state != TryState::Answering)
+        return;
+    for (std::uint32_t const part : message.parts) {
+        if (part < answerPartCount(entry.answerSize))
+            this->hooks.send(from, makeAnswerPart(entry.key, message.tryId, entry.answerSize, part));
+    }
+}
+
+void TargetRuns::forgetOldTries(Timestamp now)
+{
+    for (auto const &[tryId, entry] : this->board.tries.entries()) {
+        if (!holdsSlot(entry.state) && now - entry.changedAt > keepTriesFor)
+            this->board.tries.remove(tryId);
+    }
+}
+
+void TargetRuns::forgetAllTries()
+{
+    for (auto const &[tryId, entry] : this->board.tries.entries()) {
+        auto const known = this->board.tries.read(tryId);
+        if (known && this->board.tries.erase(tryId, known->version) == WriteOutcome::Written
+            && holdsSlot(known->value.state))
+            this->releaseSlot();
+    }
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/StandIns/TargetStandIn.cpp
@@ -0,0 +1,295 @@
+// target-stand-in: a back end that announces itself, keeps flows, runs requests and misbehaves on demand.
+
+#include <LibCore/Verify.h>
+#include <LibStandIns/AnnounceRoute.h>
+#include <LibStandIns/EventLoop.h>
+#include <LibStandIns/ExecutionLedger.h>
+#include <LibStandIns/Http.h>
+#include <LibStandIns/SharedRandom.h>
+#include <LibStandIns/TargetModel.h>
+#include <LibStandIns/UdpPort.h>
+#include <LibWire/WireCodec.h>
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::size_t threadCount = 2;
+constexpr Duration announceInterval = 2s;
+constexpr Duration forgetInterval = 10s;
+
+struct Options
+{
+    std::string cluster = "almondwing";
+    TargetTraits traits;
+    std::string packetAddress = "127.0.0.1:0";
+    std::string httpAddress = "127.0.0.1:0";
+    std::vector<std::string> announce;
+    std::string ledger;
+    std::uint64_t startMark = 0; // 0 picks one at random.
+    std::int64_t serviceTimeMs = 10;
+    std::int64_t coldMs = 0;
+    std::int64_t noticeIntervalMs = 0; // 0 sends no notices.
+};
+
+Endpoint parseAddress(std::string const &text)
+{
+    auto const endpoint = parseListenEndpoint(text);
+    if (!endpoint.ok())
+        throw CLI::ValidationError(std::string(endpoint.status().message()));
+    return *endpoint;
+}
+
+class Announcer
+{
+public:
+    Announcer(EventLoop &eventLoop, std::vector<Endpoint> instances, std::function<std::string()> makeBody)
+        : loop(eventLoop), body(std::move(makeBody))
+    {
+        AnnounceRoute initial;
+        initial.instances = std::move(instances);
+        this->route.update([&](AnnounceRoute const &) { return initial; });
+    }
+
+    void announceRepeatedly()
+    {
+        this->route.update([](AnnounceRoute const &current) { return current.beginRound(); });
+        if (!this->route.read()->instances.empty())
+            this->announce();
+        this->loop.schedule(announceInterval, [this] { this->announceRepeatedly(); });
+    }
+
+    void announce()
+    {
+        postJson(this->loop, this->route.read()->destination(), "/v1/announce", this->body(),
+                 [this](absl::StatusOr<std::string> const &answer) { this->follow(answer); });
+    }
+
+private:
+    void follow(absl::StatusOr<std::string> const &answer)
+    {
+        AnnounceStep step = AnnounceStep::RoundEnded;
+        this->route.update([&](AnnounceRoute const &current) {
+            AnnounceResult const result = followAnnouncement(current, answer);
+            step = result.step;
+            return result.route;
+        });
+        if (step == AnnounceStep::SendAgain)
+            this->announce();
+    }
+
+    EventLoop &loop;
+    std::function<std::string()> body;
+    Cell<AnnounceRoute> route;
+};
+
+// Joins the model with its sockets.
+class Target
+{
+public:
+    Target(EventLoop &eventLoop, Options const &targetOptions, ExecutionLedger &executionLedger)
+        : loop(eventLoop), options(targetOptions), ledger(executionLedger),
+          codec(WireCodec::forCluster(targetOptions.cluster)),
+          model(targetOptions.traits, targetOptions.startMark, EventLoop::now(), this->makeHooks())
+    {
+    }
+
+    absl::Status open()
+    {
+        auto packetSocket = UdpPort::open(
+            this->loop, parseAddress(this->options.packetAddress),
+            [this](Endpoint from, std::string_view datagram) { this->receive(from, datagram); });
+        if (!packetSocket.ok())
+            return packetSocket.status();
+        this->packets = *packetSocket;
+        auto httpServer =
+            HttpServer::open(this->loop, parseAddress(this->options.httpAddress),
+                             [this](HttpRequest const &request) { return this->serve(request); });
+        if (!httpServer.ok())
+            return httpServer.status();
+        this->http = std::move(*httpServer);
+        return absl::OkStatus();
+    }
+
+    void start()
+    {
+        std::vector<Endpoint> instances;
+        for (std::string const &instance : this->options.announce)
+            instances.push_back(parseAddress(instance));
+        this->announcer =
+            std::make_unique<Announcer>(this->loop, instances, [this] { return this->announcement(); });
+        this->announcer->announceRepeatedly();
+        this->forgetRepeatedly();
+        if (this->options.noticeIntervalMs > 0)
+            this->notifyRepeatedly();
+    }
+
+    std::string readyLine() const
+    {
+        return fmt::format(R"({{"ready":true,"packets":"{}","http":"{}"}})",
+                           this->packets->localEndpoint().toString(), this->http->localEndpoint().toString());
+    }
+
+private:
+    TargetHooks makeHooks()
+    {
+        return {.send = [this](Endpoint to, TargetMessage const &message) { this->send(to, message); },
+                .schedule =
+                    [this](Duration delay, std::function<void()> action) {
+                        this->loop.schedule(delay, std::move(action));
+                    },
+                .recordStart = [this](RunRequest const &run) { this->record(run); },
+                .now = [] { return EventLoop::now(); }};
+    }
+
+    void send(Endpoint to, TargetMessage const &message)
+    {
+        auto datagram = this->codec.encode(message);
+        // Echoes and answer parts are never larger than what a peer may send.
+        VERIFY(datagram.ok());
+        this->packets->send(to, std::move(*datagram));
+    }
+
+    void record(RunRequest const &run)
+    {
+        this->ledger.append({.key = run.key,
+                             .tryId = run.tryId,
+                             .idempotency = run.idempotency,
+                             .target = this->options.traits.name,
+                             .unixMicroseconds = EventLoop::unixMicroseconds()});
+    }
+
+    void receive(Endpoint from, std::string_view datagram)
+    {
+        auto const command = this->codec.decodeTargetCommand(datagram);
+        if (command.ok())
+            this->model.handle(EventLoop::now(), from, *command);
+        else
+            std::cerr << "dropped a packet of " << from.toString() << ": " << command.status().message()
+                      << '\n';
+    }
+
+    std::optional<HttpAnswer> serve(HttpRequest const &request)
+    {
+        if (request.path == "/health")
+            return this->model.health(EventLoop::now());
+        if (request.path == "/load")
+            return this->model.load(EventLoop::now());
+        if (request.path == "/ledger")
+            return HttpAnswer{.status = 200, .body = this->ledger.toJson()};
+        if (request.path == "/statistics")
+            return HttpAnswer{.status = 200, .body = this->model.statistics()};
+        if (request.path != "/control")
+            return HttpAnswer{.status = 404, .body = R"({"error":"unknown path"})"};
+        HttpAnswer const answer = this->model.control(EventLoop::now(), request.query);
+        // A real target tells the instances at once that it drains or has started anew.
+        if (!this->options.announce.empty())
+            this->announcer->announce();
+        return answer;
+    }
+
+    std::string announcement() const
+    {
+        TargetAnnouncement announcement = this->model.announcement();
+        announcement.packetEndpoint = this->packets->localEndpoint();
+        announcement.httpEndpoint = this->http->localEndpoint();
+        return announcementJson(announcement);
+    }
+
+    void forgetRepeatedly()
+    {
+        this->model.forgetOldTries(EventLoop::now());
+        this->loop.schedule(forgetInterval, [this] { this->forgetRepeatedly(); });
+    }
+
+    void notifyRepeatedly()
+    {
+        this->model.pushNotices(EventLoop::now());
+        this->loop.schedule(std::chrono::milliseconds(this->options.noticeIntervalMs),
+                            [this] { this->notifyRepeatedly(); });
+    }
+
+    EventLoop &loop;
+    Options const &options;
+    ExecutionLedger &ledger;
+    WireCodec codec;
+    TargetModel model;
+    std::shared_ptr<UdpPort> packets;
+    std::unique_ptr<HttpServer> http;
+    std::unique_ptr<Announcer> announcer;
+};
+
+void addOptions(CLI::App &app, Options &options)
+{
+    app.add_option("--cluster", options.cluster, "Name of the cluster, part of every datagram");
+    app.add_option("--name", options.traits.name, "Name of the target")->required();
+    app.add_option("--service", options.traits.service, "Name of its service")->required();
+    app.add_option("--failure-domain", options.traits.failureDomain, "Failure domain it runs in")->required();
+    app.add_option("--packets", options.packetAddress, "Address of its packet socket (UDP)");
+    app.add_option("--http", options.httpAddress,
+                   "Address of /health, /load, /control, /ledger, /statistics");
+    app.add_option("--announce", options.announce, "HTTP address of an instance; repeat for more");
+    app.add_option("--ledger", options.ledger, "File that gets a line for each start of a run");
+    app.add_option("--start-mark", options.startMark, "Start mark; 0 picks one at random");
+    app.add_option("--slots", options.traits.slots, "Requests that run at the same time");
+    app.add_option("--connections", options.traits.connections, "Flows that may be open");
+    app.add_option("--service-time-ms", options.serviceTimeMs, "Time of a run without sleep= in its payload")
+        ->check(CLI::Range(0, 3'600'000));
+    app.add_option("--cold-ms", options.coldMs, "How long the target is cold after a start")
+        ->check(CLI::Range(0, 3'600'000));
+    app.add_option("--cold-slots", options.traits.coldSlots,
+                   "Runs that a cold target bears without slowing down");
+    app.add_option("--cold-slowdown", options.traits.coldSlowdown, "Factor on the time of further runs");
+    app.add_option("--notice-interval-ms", options.noticeIntervalMs,
+                   "Between two notices on each flow; 0: none")
+        ->check(CLI::Range(0, 3'600'000));
+}
+
+int runTarget(Options options)
+{
+    options.traits.defaultOrder.serviceTime = std::chrono::milliseconds(options.serviceTimeMs);
+    options.traits.coldFor = std::chrono::milliseconds(options.coldMs);
+    std::random_device device;
+    if (options.startMark == 0)
+        options.startMark = combineHashes(device(), device());
+
+    EventLoop loop;
+    auto const ledger = ExecutionLedger::open(options.ledger);
+    if (!ledger.ok()) {
+        std::cerr << ledger.status().message() << '\n';
+        return EXIT_FAILURE;
+    }
+    Target target(loop, options, **ledger);
+    if (absl::Status const status = target.open(); !status.ok()) {
+        std::cerr << status.message() << '\n';
+        return EXIT_FAILURE;
+    }
+    target.start();
+    std::cout << target.readyLine() << std::endl;
+    loop.run(threadCount);
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+} // namespace almondwing
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Stands for a back end behind the load balancer.");
+    almondwing::Options options;
+    almondwing::addOptions(app, options);
+    try {
+        app.parse(argc, argv);
+        return almondwing::runTarget(options);
+    } catch (CLI::ParseError const &error) {
+        return app.exit(error);
+    }
+}
