Fuzz: Add fuzz targets for manifests and settings

Cause: manifests and settings come from outside, and mutated test texts reach only shallow branches. Test that pool names are unique.

--- /dev/null
+++ b/Tests/Fuzz/FuzzSeeds.h
@@ -0,0 +1,29 @@
+// Starts the fuzzer from valid documents, so that it mutates the contents rather than the syntax.
+
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+extern "C" std::size_t LLVMFuzzerMutate(std::uint8_t *data, std::size_t size, std::size_t maximumSize);
+
+namespace almondwing {
+
+// Without a corpus folder the fuzzer begins with inputs of at most one byte, which are replaced by a seed.
+// Now and then a longer input starts over from a seed as well.
+inline std::size_t mutateFromSeeds(std::span<std::string_view const> seeds, std::span<std::uint8_t> buffer,
+                                   std::size_t size, unsigned random)
+{
+    constexpr unsigned restartInterval = 64;
+    if (size > 1 && random % restartInterval != 0)
+        return LLVMFuzzerMutate(buffer.data(), size, buffer.size());
+    std::string_view const seed = seeds[(random / restartInterval) % seeds.size()];
+    std::size_t const length = std::min(seed.size(), buffer.size());
+    std::copy_n(seed.begin(), length, buffer.begin());
+    return LLVMFuzzerMutate(buffer.data(), length, buffer.size());
+}
+
+} // namespace almondwing
--- a/Tests/LibManifest/ManifestJsonTest.cpp
+++ b/Tests/LibManifest/ManifestJsonTest.cpp
@@ -178,6 +178,9 @@
                  {R"("deployment": "sk-central",)", R"("deployment": "a", "drainingTargets": ["x", "x"],)",
                   "drainingTargets[1]"}})
             assertPaths({rule.path}, replaced(example(), rule.from, rule.to));
+        assertPaths(
+            {"pools[1].name", "services[1].pool"},
+            replaced(example(), R"({"name": "manifest-desk", "slots")", R"({"name": "cab-link", "slots")"));
         assertPaths({"failureDomains", "pools", "services"},
                     R"({"deployment": "a", "failureDomains": [], "pools": [], "services": []})");
         for (auto const *const text : {"", "{", "[1]", "null", "{}x"})
