--- /dev/null
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -0,0 +1,200 @@
+// Tests of the pure decisions: queue order, slots, expected waits, retries, answers, whom to ask.
+
+#include <LibRequests/AnswerAssembly.h>
+#include <LibRequests/LocatePlan.h>
+#include <LibRequests/QueuePolicy.h>
+#include <LibRequests/RetryPolicy.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Timestamp now{100s};
+RequestSettings const settings;
+
+RequestKey keyOf(std::uint64_t number)
+{
+    return {.service = ServiceId{1}, .caller = 1, .number = number};
+}
+
+RequestQueue queueOf(std::vector<std::pair<std::uint64_t, RequestClass>> const &waiting)
+{
+    RequestQueue queue;
+    for (auto const &[number, requestClass] : waiting)
+        queue = withWaiting(queue, keyOf(number), requestClass, now - 10s);
+    return queue;
+}
+
+TargetUsage busy(std::uint32_t slots)
+{
+    TargetUsage usage;
+    usage.busySlots = slots;
+    return usage;
+}
+
+std::uint64_t nextNumber(RequestQueue const &queue, std::uint32_t busySlots, std::uint32_t slots)
+{
+    auto const key = nextToStart(
+        queue, [](RequestKey) { return true; }, busy(busySlots), {.slots = slots, .connections = 0},
+        settings, now);
+    return key ? key->number : 0;
+}
+
+} // namespace
+
+class QueuePolicyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QueuePolicyTest);
+    CPPUNIT_TEST(classesStartInOrder);
+    CPPUNIT_TEST(bulkLeavesTheLastSlot);
+    CPPUNIT_TEST(bulkRunsOnTheOnlySlotWhenQuiet);
+    CPPUNIT_TEST(inheritedSlotsCount);
+    CPPUNIT_TEST(hopelessRequestsAreRefusedEarly);
+    CPPUNIT_TEST(retriesStayWithinTheirShare);
+    CPPUNIT_TEST(answersAreWholeOrIncomplete);
+    CPPUNIT_TEST(locatingNeedsAReadQuorumOfEachGroup);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against urgent work that waits behind other classes, and against overtaking within a class.
+    void classesStartInOrder()
+    {
+        auto queue = queueOf({{1, RequestClass::Bulk},
+                              {2, RequestClass::Interactive},
+                              {3, RequestClass::Urgent},
+                              {4, RequestClass::Urgent}});
+        for (std::uint64_t const expected : {3U, 4U, 2U, 1U}) {
+            CPPUNIT_ASSERT_EQUAL(expected, nextNumber(queue, 0, 2));
+            queue = withoutWaiting(queue, keyOf(expected));
+        }
+    }
+
+    // Guards against bulk work on all slots, which would make an urgent request wait for a bulk service time.
+    void bulkLeavesTheLastSlot()
+    {
+        auto const queue = queueOf({{1, RequestClass::Bulk}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, nextNumber(queue, 0, 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, nextNumber(queue, 1, 2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, nextNumber(queue, 2, 4));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, nextNumber(queue, 3, 4));
+    }
+
+    // Guards against bulk work that starves on a one-slot target, or that holds its slot during urgent work.
+    void bulkRunsOnTheOnlySlotWhenQuiet()
+    {
+        auto const queue = queueOf({{1, RequestClass::Bulk}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, nextNumber(queue, 0, 1));
+        auto recentlyUrgent = queue;
+        recentlyUrgent.lastPriorityWork = now - settings.bulkQuietTime + 1ms;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, nextNumber(recentlyUrgent, 0, 1));
+        auto const notReady = nextToStart(
+            queueOf({{1, RequestClass::Bulk}, {2, RequestClass::Urgent}}),
+            [](RequestKey key) { return key.number == 1; }, busy(0), {.slots = 1, .connections = 0}, settings,
+            now);
+        CPPUNIT_ASSERT(!notReady);
+    }
+
+    // Guards against a new dispatcher that starts requests on top of those of its predecessor.
+    void inheritedSlotsCount()
+    {
+        TargetUsage usage = busy(1);
+        usage.inheritedSlots = 1;
+        usage.inheritedUntil = now + 1ms;
+        CPPUNIT_ASSERT_EQUAL(2U, occupiedSlots(usage, now));
+        CPPUNIT_ASSERT_EQUAL(1U, occupiedSlots(usage, now + 1ms));
+    }
+
+    // Guards against queueing work that can't start before its deadline, and against longer queues than 16.
+    void hopelessRequestsAreRefusedEarly()
+    {
+        RequestQueue queue = queueOf({{1, RequestClass::Urgent}, {2, RequestClass::Urgent}});
+        queue = withServiceTime(queue, RequestClass::Urgent, 100ms, now);
+        TargetLimits const limits{.slots = 1, .connections = 0};
+        auto const place = [&](RequestClass requestClass, Duration timeLeft) {
+            return decidePlace(requestClass, timeLeft, queue, busy(1), limits, settings, now);
+        };
+        CPPUNIT_ASSERT(place(RequestClass::Urgent, 250ms)
+                       == (PlaceDecision{.place = QueuePlace::Reserved, .wait = 250ms}));
+        CPPUNIT_ASSERT(place(RequestClass::Urgent, 249ms).place == QueuePlace::DeadlineTooShort);
+        CPPUNIT_ASSERT(place(RequestClass::Bulk, 249ms).place == QueuePlace::DeadlineTooShort);
+        for (std::uint64_t number = 3; number <= settings.queueBound; ++number)
+            queue = withWaiting(queue, keyOf(number), RequestClass::Urgent, now);
+        CPPUNIT_ASSERT(place(RequestClass::Urgent, 1h).place == QueuePlace::QueueFull);
+        CPPUNIT_ASSERT(place(RequestClass::Interactive, 1h).place == QueuePlace::Reserved);
+    }
+
+    // Guards against retries that add more than 10% to the load of a target that sheds, and against retries
+    // behind the deadline.
+    void retriesStayWithinTheirShare()
+    {
+        RetryBudget budget;
+        unsigned retries = 0;
+        for (int fresh = 0; fresh < 1000; ++fresh) {
+            budget = earnRetry(budget);
+            if (auto const spent = spendRetry(budget)) {
+                budget = *spent;
+                ++retries;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(100U, retries);
+        RequestRecord record;
+        record.deadline = now + 100ms;
+        record.tries = 1;
+        CPPUNIT_ASSERT(retryTime(record, 60ms, settings, now) == now + 60ms);
+        CPPUNIT_ASSERT(!retryTime(record, 100ms, settings, now));
+        record.tries = settings.maxTries;
+        CPPUNIT_ASSERT(!retryTime(record, 60ms, settings, now));
+    }
+
+    // Guards against an answer that looks complete with parts missing, doubled, mixed from two tries, or in
+    // another order.
+    void answersAreWholeOrIncomplete()
+    {
+        bool const holds = rc::check("answers", [] {
+            auto const count = *rc::gen::inRange<std::uint32_t>(1, 20);
+            auto const arrivals = *rc::gen::container<std::vector<std::uint32_t>>(
+                rc::gen::inRange<std::uint32_t>(0, count));
+            std::shared_ptr<KeptAnswer const> answer;
+            std::set<std::uint32_t> seen;
+            for (std::uint32_t const index : arrivals) {
+                AnswerPart part{.key = keyOf(1), .tryId = 7, .part = index, .payload = std::to_string(index)};
+                part.position = index + 1 == count ? PartPosition::Last : PartPosition::Middle;
+                bool const isNew = seen.insert(index).second;
+                auto const added = addPart(answer, part, 1000);
+                RC_ASSERT(added.fate == (isNew ? PartFate::Added : PartFate::Duplicate));
+                answer = added.answer;
+                part.tryId = 8;
+                part.part = count - 1;
+                RC_ASSERT(addPart(answer, part, 1000).fate != PartFate::Added);
+                RC_ASSERT(answer->isComplete() == (seen.size() == count));
+                RC_ASSERT(keptPart(keyOf(1), *answer, index).payload == std::to_string(index));
+            }
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against a first run although the only member that holds the record did not answer.
+    void locatingNeedsAReadQuorumOfEachGroup()
+    {
+        LocateProgress progress;
+        progress.groups = {{InstanceId{1}, InstanceId{2}, InstanceId{3}}, {InstanceId{4}}};
+        progress.mustAnswer = {InstanceId{2}};
+        progress.notKnown = {InstanceId{1}};
+        CPPUNIT_ASSERT(judgeLocate(progress) == LocateResult::Pending);
+        progress.unable = {InstanceId{2}};
+        CPPUNIT_ASSERT(judgeLocate(progress) == LocateResult::Incomplete);
+        progress.notKnown.push_back(InstanceId{2});
+        CPPUNIT_ASSERT(judgeLocate(progress) == LocateResult::NotKnown);
+        progress.known.push_back(InstanceId{2});
+        CPPUNIT_ASSERT(judgeLocate(progress) == LocateResult::Known);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueuePolicyTest);
+
+} // namespace almondwing
