Requests: Bound deadlines, move queued work off draining targets

Cause: records of non-idempotent requests with long deadlines outlived the time after which a restarted group member vouches again, so a resend could have run twice; queued requests of a draining target were all refused; parts of answers that never completed stayed in memory; a target whose slots are all inherited looked free. Change: non-idempotent requests with more than 60 s left are refused, queued requests of a draining target move to another target where that is safe, partial answers are dropped with the outcome, inherited slots count in the expected wait. Adds a focused test for draining.

--- a/Libraries/LibRequests/QueuePolicy.cpp
+++ b/Libraries/LibRequests/QueuePolicy.cpp
@@ -67,6 +67,9 @@
 {
     std::uint32_t const occupied = occupiedSlots(usage, now);
     std::uint32_t const slots = std::max(limits.slots, 1U);
+    // Inherited slots are not given back one by one.
+    bool const isBlocked = now < usage.inheritedUntil && usage.inheritedSlots >= slots;
+    Duration const blocked = isBlocked ? usage.inheritedUntil - now : Duration::zero();
     Duration work{};
     std::size_t ahead = 0;
     for (std::size_t index = 0; index <= indexOf(requestClass); ++index) {
@@ -78,7 +81,7 @@
         return Duration::zero();
     // The tries in progress end, on average, after half the longest of the known service times.
     work += std::ranges::max(queue.serviceTime) * static_cast<Duration::rep>(std::min(occupied, slots)) / 2;
-    return work / slots;
+    return std::max(work / slots, blocked);
 }
 
 PlaceDecision decidePlace(RequestClass requestClass, Duration timeLeft, RequestQueue const &queue,
--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -25,7 +25,7 @@
     record.requestClass = arrived.request.requestClass;
     record.idempotency = arrived.request.idempotency;
     record.hops = arrived.hops;
-    record.deadline = now + arrived.request.timeLeft;
+    record.deadline = now + std::min(arrived.request.timeLeft, this->store.times().longestDeadline);
     record.payload = std::make_shared<std::string const>(arrived.request.payload);
     record.phaseSince = now;
     bool const mustAsk = this->mustLocate(record, arrived.request.key, arrived.purpose, now);
@@ -153,6 +153,9 @@
         reason = Reason::LeaseExpired;
     else if (this->store.queue(record.target).active.size() >= this->store.times().locatingBound)
         reason = Reason::QueueFull;
+    else if (record.idempotency == Idempotency::NonIdempotent
+             && record.deadline - now > this->store.times().longestRecorded)
+        reason = Reason::NoSecondCopy; // Nobody keeps a record for that long.
     return reason != Reason::None
         && this->outcomes.refuse(key, RequestPhase::Admitting, reason, Duration::zero(), now);
 }
--- a/Libraries/LibRequests/RequestAdmission.h
+++ b/Libraries/LibRequests/RequestAdmission.h
@@ -70,6 +70,8 @@
     void handleRecordReply(InstanceId from, RecordReply const &reply, Timestamp now);
     void handleLocateReply(InstanceId from, LocateReply const &reply, Timestamp now);
     void handleLocate(InstanceId from, Locate const &message, Timestamp now);
+    // Moves a waiting request away from a target that takes no new work.
+    void leaveTarget(RequestKey key, Timestamp now);
     void takeStep(RequestKey key, RequestStep step, Timestamp now);
 
     // Passes a caller's message about a request in phase Elsewhere on to where the request is.
@@ -96,6 +98,7 @@
                    Timestamp now);
 
     void admit(RequestKey key, RequestPhase phase, Timestamp now);
+    bool isPinned(RequestKey key, RequestRecord const &record, Timestamp now) const;
     bool spill(RequestKey key, RequestRecord const &record, Timestamp now);
     bool moveToOwnTarget(RequestKey key, RequestRecord const &record, Timestamp now);
     std::optional<RoutedTarget> chooseSpillTarget(RequestKey key, RequestRecord const &record) const;
--- a/Libraries/LibRequests/RequestController.cpp
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -137,6 +137,8 @@
 
 void RequestController::tickTarget(TargetId target, RequestQueue const &queue, Timestamp now)
 {
+    if (this->store.view()->findTarget(target) == nullptr)
+        this->store.forgetEmptyQueue(target);
     this->noteDispatcher(target, now);
     for (auto const &waiting : queue.waiting) {
         for (RequestKey const key : waiting)
@@ -147,7 +149,7 @@
     this->store.tidyQueue(target);
     Reason const obstacle = this->runner.obstacle(target, now);
     if (obstacle != Reason::None)
-        this->refuseWaiting(target, queue, obstacle, now);
+        this->emptyQueue(queue, obstacle, now);
     else
         this->runner.dispatch(target, now);
 }
@@ -167,16 +169,18 @@
         this->admission.takeStep(key, step, now);
 }
 
-void RequestController::refuseWaiting(TargetId target, RequestQueue const &queue, Reason reason,
-                                      Timestamp now)
+void RequestController::emptyQueue(RequestQueue const &queue, Reason reason, Timestamp now)
 {
-    static_cast<void>(target);
-    for (auto const &waiting : queue.waiting) {
-        for (RequestKey const key : waiting) {
-            for (auto const phase : {RequestPhase::Recording, RequestPhase::Queued})
-                this->outcomes.refuse(key, phase, reason, Duration::zero(), now);
+    auto const leave = [&](RequestKey key) {
+        if (reason == Reason::NoTarget) {
+            this->admission.leaveTarget(key, now);
+            return;
         }
-    }
+        for (auto const phase : {RequestPhase::Recording, RequestPhase::Queued})
+            this->outcomes.refuse(key, phase, reason, Duration::zero(), now);
+    };
+    for (auto const &waiting : queue.waiting)
+        std::ranges::for_each(waiting, leave);
 }
 
 void RequestController::noteDispatcher(TargetId target, Timestamp now)
@@ -184,12 +188,12 @@
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(target);
     bool const isOwn = routed != nullptr && routed->dispatcher == this->store.self();
-    bool const isNoted = this->store.queue(target).dispatchLostAt.has_value();
-    if (isOwn != isNoted)
+    auto const queue = this->blackboard.queues.read(target);
+    if (!queue || isOwn != queue->value.dispatchLostAt.has_value())
         return;
-    this->store.changeQueue(target, [&](RequestQueue queue) {
-        queue.dispatchLostAt = isOwn ? std::nullopt : std::optional(now);
-        return queue;
+    this->store.changeQueue(target, [&](RequestQueue next) {
+        next.dispatchLostAt = isOwn ? std::nullopt : std::optional(now);
+        return next;
     });
 }
 
--- a/Libraries/LibRequests/RequestController.h
+++ b/Libraries/LibRequests/RequestController.h
@@ -62,7 +62,7 @@
 private:
     void tickTarget(TargetId target, RequestQueue const &queue, Timestamp now);
     void tickRequest(RequestKey key, Timestamp now);
-    void refuseWaiting(TargetId target, RequestQueue const &queue, Reason reason, Timestamp now);
+    void emptyQueue(RequestQueue const &queue, Reason reason, Timestamp now);
     void noteDispatcher(TargetId target, Timestamp now);
 
     Blackboard &blackboard;
--- a/Libraries/LibRequests/RequestOutcomes.cpp
+++ b/Libraries/LibRequests/RequestOutcomes.cpp
@@ -37,12 +37,30 @@
         queue = withoutWaiting(std::move(queue), key);
         return record.slot == SlotUse::Held ? queue : withoutActive(std::move(queue), key);
     });
+    if (record.outcome != RequestOutcome::Answered)
+        this->dropPartialAnswer(key);
     // The records are released before the caller learns of it; see ReplicaRecords.
     if (record.outcome == RequestOutcome::NotRun)
         this->releaseRecords(key, record);
     this->sendFinalMessage(key, record);
 }
 
+void RequestOutcomes::dropPartialAnswer(RequestKey key)
+{
+    std::size_t bytes = 0;
+    auto const dropped =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!current.answer)
+                return std::nullopt;
+            bytes = current.answer->bytes;
+            RequestRecord next = current;
+            next.answer = nullptr;
+            return next;
+        });
+    if (dropped)
+        this->store.returnAnswerBytes(bytes);
+}
+
 bool RequestOutcomes::finish(RequestKey key, RequestPhase phase, FinalOutcome outcome, Timestamp now)
 {
     auto const record =
@@ -190,7 +208,7 @@
     auto const paced = this->store.board().pacedParts.read(state->head);
     // The position is taken before the entry is written; the writer needs another moment.
     if (!paced || this->store.board().pacedParts.erase(state->head, paced->version) != WriteOutcome::Written)
-        return now;
+        return now + 1ms;
     std::size_t const bytes = this->sendPacedPart(paced->value);
     Duration const pause{1'000'000 * bytes / this->store.times().bulkBytesPerSecond};
     auto const next = this->store.board().pacing.update([&](PacingState current) {
--- a/Libraries/LibRequests/RequestOutcomes.h
+++ b/Libraries/LibRequests/RequestOutcomes.h
@@ -54,6 +54,7 @@
 
 private:
     bool isStillCertain(RequestRecord const &record) const;
+    void dropPartialAnswer(RequestKey key);
     void releaseRecords(RequestKey key, RequestRecord const &record);
     void sendFinalMessage(RequestKey key, RequestRecord const &record);
     void pacePart(RequestKey key, std::uint32_t part);
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -101,11 +101,39 @@
            });
 }
 
+// A located request has promises of other instances, and a recorded one has records, for this dispatcher
+// only.
+bool RequestAdmission::isPinned(RequestKey key, RequestRecord const &record, Timestamp now) const
+{
+    return record.idempotency == Idempotency::NonIdempotent
+        && (record.attempt > 1 || record.recordId != 0 || this->replicas.find(key, now).has_value());
+}
+
+void RequestAdmission::leaveTarget(RequestKey key, Timestamp now)
+{
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Queued)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Admitting;
+            next.phaseSince = now;
+            next.storedBy = {};
+            return next;
+        });
+    if (!record)
+        return;
+    this->store.changeQueue(record->target,
+                            [&](RequestQueue queue) { return withoutWaiting(std::move(queue), key); });
+    bool const hasLeft = this->isPinned(key, *record, now) ? this->moveToOwnTarget(key, *record, now)
+                                                           : this->spill(key, *record, now);
+    if (!hasLeft)
+        this->outcomes.refuse(key, RequestPhase::Admitting, Reason::NoTarget, Duration::zero(), now);
+}
+
 bool RequestAdmission::spill(RequestKey key, RequestRecord const &record, Timestamp now)
 {
-    // A located request holds promises of the other instances for this dispatcher only.
-    bool const isPinned = record.idempotency == Idempotency::NonIdempotent && record.attempt > 1;
-    if (isPinned || record.hops >= this->store.times().maxSpillHops)
+    if (this->isPinned(key, record, now) || record.hops >= this->store.times().maxSpillHops)
         return false;
     if (this->moveToOwnTarget(key, record, now))
         return true;
@@ -170,7 +198,7 @@
 void RequestAdmission::startRecording(RequestKey key, RequestPhase phase, RoutedTarget const &target,
                                       Timestamp now)
 {
-    std::uint64_t const recordId = this->random() | 1U; // Never zero, which stands for "not recorded".
+    std::uint64_t const newId = this->random() | 1U; // Never zero, which stands for "not recorded".
     auto const record =
         this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
             if (current.phase != phase)
@@ -179,7 +207,8 @@
             next.phase = RequestPhase::Recording;
             next.phaseSince = now;
             next.lastSent = now;
-            next.recordId = recordId;
+            // A request that left its former target is recorded again under the same id.
+            next.recordId = current.recordId != 0 ? current.recordId : newId;
             next.group = target.replicaGroup;
             return next;
         });
--- a/Libraries/LibRequests/RequestSettings.h
+++ b/Libraries/LibRequests/RequestSettings.h
@@ -14,7 +14,11 @@
     // Start of this process. Until `memoryGap` later its replica records may lack what a former process of
     // the same instance had stored, so it does not vouch for requests that it does not know.
     Timestamp startedAt;
-    Duration memoryGap = 60s;
+    Duration memoryGap = 90s; // longestRecorded + keepAfterDeadline: no record lives longer.
+
+    // Non-idempotent requests with more time left are refused: their records would outlive `memoryGap`.
+    Duration longestRecorded = 60s;
+    Duration longestDeadline = 1h; // More time left is cut down to this.
 
     std::size_t queueBound = 16; // For each target and class.
     std::size_t locatingBound = 256; // Located, running and cancelled requests of one target.
--- a/Libraries/LibRequests/RequestStore.cpp
+++ b/Libraries/LibRequests/RequestStore.cpp
@@ -154,6 +154,15 @@
         });
 }
 
+void RequestStore::forgetEmptyQueue(TargetId target)
+{
+    auto const queue = this->blackboard.queues.read(target);
+    bool const isEmpty = queue && queue->value.active.empty()
+        && std::ranges::all_of(queue->value.waiting, [](auto const &waiting) { return waiting.empty(); });
+    if (isEmpty)
+        this->blackboard.queues.erase(target, queue->version);
+}
+
 TargetUsage RequestStore::usage(TargetId target) const
 {
     auto const found = this->blackboard.usage.read(target);
--- a/Libraries/LibRequests/RequestStore.h
+++ b/Libraries/LibRequests/RequestStore.h
@@ -39,6 +39,7 @@
     void changeQueue(TargetId target, DecideQueue const &decide);
     // Removes keys that are no longer in a phase that belongs to their list.
     void tidyQueue(TargetId target);
+    void forgetEmptyQueue(TargetId target);
 
     TargetUsage usage(TargetId target) const;
     bool takeSlot(TargetId target, RequestClass requestClass, TargetLimits limits, RequestQueue const &queue,
--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -41,8 +41,8 @@
 std::uint64_t nextNumber(RequestQueue const &queue, std::uint32_t busySlots, std::uint32_t slots)
 {
     auto const key = nextToStart(
-        queue, [](RequestKey) { return true; }, busy(busySlots), {.slots = slots, .connections = 0},
-        settings, now);
+        queue, [](RequestKey) { return true; }, busy(busySlots), {.slots = slots, .connections = 0}, settings,
+        now);
     return key ? key->number : 0;
 }
 
@@ -157,8 +157,8 @@
     {
         bool const holds = rc::check("answers", [] {
             auto const count = *rc::gen::inRange<std::uint32_t>(1, 20);
-            auto const arrivals = *rc::gen::container<std::vector<std::uint32_t>>(
-                rc::gen::inRange<std::uint32_t>(0, count));
+            auto const arrivals =
+                *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange<std::uint32_t>(0, count));
             std::shared_ptr<KeptAnswer const> answer;
             std::set<std::uint32_t> seen;
             for (std::uint32_t const index : arrivals) {
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -65,7 +65,8 @@
     }
 
     // Both targets have the same limit; all buckets belong to the first.
-    void setView(std::uint32_t slots)
+    void setView(std::uint32_t slots, TargetState firstState = TargetState::Warm,
+                 InstanceId secondDispatcher = otherDispatcher)
     {
         auto routes = std::make_shared<ServiceRoutes>();
         routes->id = ServiceId{1};
@@ -73,9 +74,9 @@
             RoutedTarget routed;
             routed.record.id = target;
             routed.record.packetEndpoint = endpointOf(target);
-            routed.record.state = TargetState::Warm;
+            routed.record.state = target == firstTarget ? firstState : TargetState::Warm;
             routed.limits = routed.fullLimits = {.slots = slots, .connections = 0};
-            routed.dispatcher = target == firstTarget ? self : otherDispatcher;
+            routed.dispatcher = target == firstTarget ? self : secondDispatcher;
             routed.replicaGroup = {self, member};
             routes->targets.push_back(routed);
         }
@@ -151,8 +152,8 @@
 
     void started(RunRequest const &run)
     {
-        this->controller->handleTargetMessage(
-            endpointOf(firstTarget), RequestStarted{.key = run.key, .tryId = run.tryId}, this->now);
+        this->controller->handleTargetMessage(endpointOf(firstTarget),
+                                              RequestStarted{.key = run.key, .tryId = run.tryId}, this->now);
     }
 
     void replyToRecord(RecordVerdict verdict)
@@ -176,6 +177,7 @@
     CPPUNIT_TEST(cancelledRequestsEndOnce);
     CPPUNIT_TEST(expiredRequestsGetTrueOutcomes);
     CPPUNIT_TEST(spilledRequestsStayThere);
+    CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
     CPPUNIT_TEST(finalOutcomeIsRepeated);
     CPPUNIT_TEST(droppedAnswersAreUnknown);
     CPPUNIT_TEST(gapsAreAskedFor);
@@ -281,7 +283,8 @@
     {
         Harness harness(1);
         auto const cancel = [&](Request const &request) {
-            harness.controller->handleCancel(callerEndpoint, {.key = request.key, .tryId = 0}, 0, harness.now);
+            harness.controller->handleCancel(callerEndpoint, {.key = request.key, .tryId = 0}, 0,
+                                             harness.now);
         };
         auto const running = harness.sendIdempotent(1);
         auto const queued = harness.sendIdempotent(2);
@@ -346,6 +349,29 @@
         CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::QueueFull);
     }
 
+    // Guards against new work at a draining target, and against refusing what another target could run.
+    void drainingTargetGetsNoQueuedWork()
+    {
+        Harness harness(1);
+        harness.sendIdempotent(1);
+        harness.send(Harness::request(2, RequestClass::Urgent, Idempotency::NonIdempotent));
+        harness.replyToRecord(RecordVerdict::Stored);
+        auto const firstRecord = std::get<RecordRequest>(harness.toInstance.back().second);
+        harness.sendIdempotent(3);
+        harness.setView(1, TargetState::Draining, self);
+        harness.tickFor(20ms);
+        auto const secondRecord = std::get<RecordRequest>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT_EQUAL(firstRecord.tryId, secondRecord.tryId);
+        CPPUNIT_ASSERT(secondRecord.target == secondTarget);
+        harness.replyToRecord(RecordVerdict::Stored);
+        harness.answer(harness.runs().at(0));
+        harness.tickFor(20ms);
+        // The other target has one slot: the older request runs there, the younger one is refused.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.runs().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.runs().at(1).key.number);
+        CPPUNIT_ASSERT(harness.refusals().empty() || harness.refusals().at(0).reason == Reason::NoTarget);
+    }
+
     // Guards against a second run, or another outcome, for the resend of a request that has ended.
     void finalOutcomeIsRepeated()
     {
