Requests: Finish queued requests of a former dispatcher

Cause: a resend that reached the successor during a planned stop was told OutcomeUnknown, because the successor took the record of the leaving instance for that of a dead one; a former dispatcher refused what was still queued after 3 s. Change: a located request is handed to the instance that serves it, also when that dispatches for no target; instances that hold only a record say so. A former dispatcher starts what the successor knows of by its record, and hands over idempotent requests. The successor counts slots for records that arrive after its takeover.

--- a/Libraries/LibRequests/LocatePlan.cpp
+++ b/Libraries/LibRequests/LocatePlan.cpp
@@ -50,12 +50,14 @@
 {
     bool const allAnswered = std::ranges::all_of(progress.mustAnswer, [&](InstanceId instance) {
         return contains(progress.notKnown, instance) || contains(progress.known, instance)
-            || contains(progress.unable, instance);
+            || contains(progress.recorded, instance) || contains(progress.unable, instance);
     });
     if (!allAnswered)
         return LocateResult::Pending;
     if (!progress.known.empty())
         return LocateResult::Known;
+    if (!progress.recorded.empty())
+        return LocateResult::Recorded;
     bool const isVouched = std::ranges::all_of(progress.groups, [&](std::vector<InstanceId> const &group) {
         return hasReadQuorum(group, progress.notKnown);
     });
--- a/Libraries/LibRequests/LocatePlan.h
+++ b/Libraries/LibRequests/LocatePlan.h
@@ -37,7 +37,8 @@
 enum class LocateResult : std::uint8_t {
     Pending,
     NotKnown, // Certain.
-    Known,
+    Known, // Served by an instance that answered.
+    Recorded, // Another instance may have run it; nobody serves it.
     Incomplete, // All have answered, but not enough of them vouch for their memory.
 };
 
--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -77,8 +77,10 @@
 void RequestAdmission::handleKnown(RequestRecord const &known, ArrivedRequest const &arrived, Timestamp now)
 {
     RequestKey const key = arrived.request.key;
+    bool const isHolderLost =
+        known.elsewherePurpose == ForwardPurpose::Search && !this->isReachable(known.elsewhere);
     bool const isLost = known.phase == RequestPhase::Elsewhere
-        && (arrived.purpose == ForwardPurpose::SearchEnded
+        && (isHolderLost || arrived.purpose == ForwardPurpose::SearchEnded
             || arrived.hops >= this->store.times().maxPassOnHops);
     if (isLost) {
         FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
@@ -105,10 +107,11 @@
 void RequestAdmission::passOn(RequestRecord const &record, Endpoint caller, std::uint8_t hops,
                               CallerMessage const &message)
 {
+    // A spilled request is at a target, whichever instance dispatches for it; a located one at an instance.
     auto const view = this->store.view();
-    RoutedTarget const *const routed =
-        record.elsewhereTargets.empty() ? nullptr : view->findTarget(record.elsewhereTargets.front());
-    bool const hasSuccessor = routed != nullptr && !routed->dispatcher.isNone();
+    RoutedTarget const *const routed = view->findTarget(record.elsewhereTargets.front());
+    bool const hasSuccessor =
+        record.elsewherePurpose == ForwardPurpose::Spill && routed != nullptr && !routed->dispatcher.isNone();
     this->outcomes.out().sendToInstance(hasSuccessor ? routed->dispatcher : record.elsewhere,
                                         Forwarded{.caller = caller,
                                                   .purpose = record.elsewherePurpose,
@@ -127,14 +130,12 @@
     auto const held = this->replicas.find(key, now);
     if (!held)
         return false;
-    bool const isPromisedToOther =
-        held->kind == ReplicaRecordKind::Promised && held->holder != this->store.self();
-    if (held->kind == ReplicaRecordKind::Promised && !isPromisedToOther)
+    bool const isOwn = held->holder == this->store.self();
+    if (held->kind == ReplicaRecordKind::Promised && isOwn)
         return false;
-    if (isPromisedToOther) {
-        this->handOver(key, record, {held->holder}, now);
-        if (auto const moved = this->store.find(key); moved && moved->phase == RequestPhase::Elsewhere)
-            this->passOn(*moved, arrived.caller, arrived.hops, arrived.request);
+    // The holder is finishing what it has, for example before a planned stop.
+    if (!isOwn && this->isReachable(held->holder)) {
+        this->handOver(key, record, held->holder, now);
         return true;
     }
     FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
@@ -160,6 +161,12 @@
         && this->outcomes.refuse(key, RequestPhase::Admitting, reason, Duration::zero(), now);
 }
 
+bool RequestAdmission::isReachable(InstanceId instance) const
+{
+    auto const known = this->store.board().members.read(instance);
+    return known && known->value.state != MemberState::Dead;
+}
+
 bool RequestAdmission::hasLongTenure(TargetId target, Timestamp now) const
 {
     auto const tookOverAt = this->store.queue(target).tookOverAt;
@@ -201,7 +208,7 @@
         this->addAnswer(self, key, &LocateProgress::notKnown, now);
         break;
     case PromiseOutcome::Known:
-        this->addAnswer(self, key, &LocateProgress::known, now);
+        this->addAnswer(self, key, &LocateProgress::recorded, now);
         break;
     case PromiseOutcome::Unable:
         this->addAnswer(self, key, &LocateProgress::unable, now);
@@ -218,7 +225,7 @@
     };
     for (InstanceId const instance : ask) {
         if (!isIn(progress.notKnown, instance) && !isIn(progress.known, instance)
-            && !isIn(progress.unable, instance))
+            && !isIn(progress.recorded, instance) && !isIn(progress.unable, instance))
             this->outcomes.out().sendToInstance(instance, Locate{.key = key});
     }
 }
@@ -254,46 +261,23 @@
         return;
     }
     if (!record->locate.known.empty()) {
-        this->handOver(key, *record, record->locate.known, now);
+        this->handOver(key, *record, record->locate.known.front(), now);
         return;
     }
     // A first send, too, may have a copy that was run elsewhere, so this is never NotRun.
-    FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::LocateIncomplete};
+    FinalOutcome const unknown{.outcome = RequestOutcome::Unknown,
+                               .reason = record->locate.recorded.empty() ? Reason::LocateIncomplete
+                                                                         : Reason::DispatcherLost};
     this->outcomes.finish(key, RequestPhase::Locating, unknown, now);
 }
 
-void RequestAdmission::handOver(RequestKey key, RequestRecord const &record,
-                                std::vector<InstanceId> const &known, Timestamp now)
+void RequestAdmission::handOver(RequestKey key, RequestRecord const &record, InstanceId holder, Timestamp now)
 {
-    auto const view = this->store.view();
-    ServiceRoutes const *const routes = view->findService(key.service);
-    InstanceId const self = this->store.self();
-    std::vector<TargetId> targets;
-    std::vector<InstanceId> covered{self};
-    for (RoutedTarget const &target : routes != nullptr ? routes->targets : std::vector<RoutedTarget>{}) {
-        bool const isKnower = std::ranges::find(known, target.dispatcher) != known.end();
-        if (!isKnower || std::ranges::find(covered, target.dispatcher) != covered.end())
-            continue;
-        targets.push_back(target.record.id);
-        covered.push_back(target.dispatcher);
-    }
-    // An instance that knows the request but dispatches for no target has only a record of it.
-    if (targets.empty()) {
-        FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
-        this->outcomes.finish(key, record.phase, unknown, now);
-        return;
-    }
     auto const moved =
-        this->markElsewhere(key, record.phase, covered[1], ForwardPurpose::Search, targets, now);
-    if (!moved || record.phase == RequestPhase::Admitting)
+        this->markElsewhere(key, record.phase, holder, ForwardPurpose::Search, {record.target}, now);
+    if (!moved)
         return;
-    this->passOn(*moved, moved->caller, moved->hops,
-                 Request{.key = key,
-                         .attempt = moved->attempt,
-                         .requestClass = moved->requestClass,
-                         .idempotency = moved->idempotency,
-                         .timeLeft = moved->deadline - now,
-                         .payload = record.payload ? *record.payload : ""});
+    this->passOn(*moved, moved->caller, moved->hops, this->forwardable(key, record, now));
 }
 
 std::optional<RequestRecord> RequestAdmission::markElsewhere(RequestKey key, RequestPhase phase,
@@ -333,27 +317,50 @@
 
 void RequestAdmission::handleLocate(InstanceId from, Locate const &message, Timestamp now)
 {
-    auto const isKnownHere = [&] {
-        auto const record = this->store.find(message.key);
-        // A request that was handed to the asker is the asker's to run.
-        return record && !(record->phase == RequestPhase::Elsewhere && record->elsewhere == from);
-    };
-    auto const answer = [&](LocateVerdict verdict) {
-        this->outcomes.out().sendToInstance(from, LocateReply{.key = message.key, .verdict = verdict});
-    };
-    if (isKnownHere()) {
-        answer(LocateVerdict::Known);
+    switch (this->judgeLocateHere(from, message.key, now)) {
+    case LocateVerdictHere::Known:
+        this->outcomes.out().sendToInstance(from,
+                                            LocateReply{.key = message.key, .verdict = LocateVerdict::Known});
         return;
-    }
-    auto const promise = this->replicas.promise(message.key, from, now);
-    // Looked up again: the request may have arrived while the promise was being written.
-    if (promise == PromiseOutcome::Known || isKnownHere())
-        answer(LocateVerdict::Known);
-    else if (promise == PromiseOutcome::Given)
-        answer(LocateVerdict::NotKnown);
-    else // "Can't keep it": answered, but not a vote for "not known".
+    case LocateVerdictHere::NotKnown:
+        this->outcomes.out().sendToInstance(
+            from, LocateReply{.key = message.key, .verdict = LocateVerdict::NotKnown});
+        return;
+    case LocateVerdictHere::Recorded:
+        this->outcomes.out().sendToInstance(
+            from, RecordReply{.key = message.key, .tryId = 0, .verdict = RecordVerdict::AlreadyRecorded});
+        return;
+    case LocateVerdictHere::Unable:
         this->outcomes.out().sendToInstance(
             from, RecordReply{.key = message.key, .tryId = 0, .verdict = RecordVerdict::Refused});
+        return;
+    }
+}
+
+LocateVerdictHere RequestAdmission::judgeLocateHere(InstanceId from, RequestKey key, Timestamp now)
+{
+    auto const isServedHere = [](std::optional<RequestRecord> const &record) {
+        return record && record->phase != RequestPhase::Elsewhere;
+    };
+    auto const before = this->store.find(key);
+    if (isServedHere(before))
+        return LocateVerdictHere::Known;
+    // A request that was handed to the asker is the asker's to run.
+    if (before && before->elsewhere != from)
+        return LocateVerdictHere::Recorded;
+    auto const promise = this->replicas.promise(key, from, now);
+    // Looked up again: the request may have arrived while the promise was being written.
+    if (isServedHere(this->store.find(key)))
+        return LocateVerdictHere::Known;
+    switch (promise) {
+    case PromiseOutcome::Given:
+        return LocateVerdictHere::NotKnown;
+    case PromiseOutcome::Known:
+        return LocateVerdictHere::Recorded;
+    case PromiseOutcome::Unable:
+        return LocateVerdictHere::Unable;
+    }
+    return LocateVerdictHere::Unable;
 }
 
 } // namespace almondwing
--- a/Libraries/LibRequests/RequestAdmission.h
+++ b/Libraries/LibRequests/RequestAdmission.h
@@ -58,6 +58,15 @@
     friend bool operator==(ArrivedRequest const &, ArrivedRequest const &) = default;
 };
 
+// How this instance answers a Locate. LocateReply has no verdicts for the last two; they travel as a
+// RecordReply with try id 0, "already recorded" and "refused".
+enum class LocateVerdictHere : std::uint8_t {
+    Known,
+    NotKnown,
+    Recorded, // Only a record, a promise or a hint for another instance is here.
+    Unable, // Not known, but this instance can't vouch for its memory.
+};
+
 enum class AdmissionGate : std::uint8_t { Open, Stopping };
 
 class RequestAdmission
@@ -72,6 +81,8 @@
     void handleLocate(InstanceId from, Locate const &message, Timestamp now);
     // Moves a waiting request away from a target that takes no new work.
     void leaveTarget(RequestKey key, Timestamp now);
+    // Another instance has become dispatcher and must start the request, or nobody.
+    void leaveToSuccessor(RequestKey key, RequestRecord const &record, Timestamp now);
     void takeStep(RequestKey key, RequestStep step, Timestamp now);
 
     // Passes a caller's message about a request in phase Elsewhere on to where the request is.
@@ -88,16 +99,18 @@
     bool refuseAtOnce(RequestKey key, RequestRecord const &record, Timestamp now);
     bool yieldToHolder(ArrivedRequest const &arrived, RequestRecord const &record, Timestamp now);
 
+    bool isReachable(InstanceId instance) const;
     bool hasLongTenure(TargetId target, Timestamp now) const;
     void startLocating(RequestKey key, RequestRecord const &record, Timestamp now);
     void sendLocates(RequestKey key, LocateProgress const &progress, std::vector<InstanceId> const &ask);
     void concludeLocating(RequestKey key, LocateResult result, Timestamp now);
-    void handOver(RequestKey key, RequestRecord const &record, std::vector<InstanceId> const &known,
-                  Timestamp now);
+    void handOver(RequestKey key, RequestRecord const &record, InstanceId holder, Timestamp now);
+    LocateVerdictHere judgeLocateHere(InstanceId from, RequestKey key, Timestamp now);
     void addAnswer(InstanceId from, RequestKey key, std::vector<InstanceId> LocateProgress::*list,
                    Timestamp now);
 
     void admit(RequestKey key, RequestPhase phase, Timestamp now);
+    Request forwardable(RequestKey key, RequestRecord const &record, Timestamp now) const;
     bool isPinned(RequestKey key, RequestRecord const &record, Timestamp now) const;
     bool spill(RequestKey key, RequestRecord const &record, Timestamp now);
     bool moveToOwnTarget(RequestKey key, RequestRecord const &record, Timestamp now);
--- a/Libraries/LibRequests/RequestController.cpp
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -89,6 +89,8 @@
 {
     if (auto const *const request = std::get_if<RecordRequest>(&message)) {
         auto const verdict = this->replicas.record(*request, now);
+        if (verdict == RecordVerdict::Stored)
+            this->extendTakeover(*request, now);
         this->outbox.sendToInstance(
             from, RecordReply{.key = request->key, .tryId = request->tryId, .verdict = verdict});
     } else if (auto const *const reply = std::get_if<RecordReply>(&message)) {
@@ -125,6 +127,25 @@
         fmt::format("target {:x}, {} slots, {} ms", target.value, slots, (until - now) / 1ms));
 }
 
+void RequestController::extendTakeover(RecordRequest const &request, Timestamp now)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(request.target);
+    if (routed == nullptr || routed->dispatcher != this->store.self())
+        return;
+    // The former dispatcher has not seen the change yet, or finishes what it has queued.
+    Timestamp const deadline = now + request.keepFor - this->settings.keepAfterDeadline;
+    this->blackboard.usage.update(
+        request.target, [&](std::optional<TargetUsage> const &current) -> std::optional<TargetUsage> {
+            if (current && now < current->inheritedUntil && current->inheritedUntil >= deadline)
+                return std::nullopt;
+            TargetUsage next = current.value_or(TargetUsage{});
+            next.inheritedSlots = std::max(next.inheritedSlots, routed->fullLimits.slots);
+            next.inheritedUntil = std::max(next.inheritedUntil, deadline);
+            return next;
+        });
+}
+
 void RequestController::tick(Timestamp now)
 {
     for (auto const &[target, queue] : this->blackboard.queues.entries())
@@ -147,7 +168,7 @@
     for (RequestKey const key : queue.active)
         this->tickRequest(key, now);
     this->store.tidyQueue(target);
-    Reason const obstacle = this->runner.obstacle(target, now);
+    Reason const obstacle = this->runner.obstacle(target);
     if (obstacle != Reason::None)
         this->emptyQueue(queue, obstacle, now);
     else
@@ -160,6 +181,10 @@
     if (!record)
         return;
     this->runner.checkTargetProcess(key, *record, now);
+    if (record->phase == RequestPhase::Queued && !this->runner.isStillOurs(*record, now)) {
+        this->admission.leaveToSuccessor(key, *record, now);
+        return;
+    }
     RequestStep const step = nextStep(*record, this->settings, now);
     if (step == RequestStep::None)
         return;
--- a/Libraries/LibRequests/RequestController.h
+++ b/Libraries/LibRequests/RequestController.h
@@ -60,6 +60,7 @@
     std::set<std::uint16_t> bucketsInUse(TargetId target) const;
 
 private:
+    void extendTakeover(RecordRequest const &request, Timestamp now);
     void tickTarget(TargetId target, RequestQueue const &queue, Timestamp now);
     void tickRequest(RequestKey key, Timestamp now);
     void emptyQueue(RequestQueue const &queue, Reason reason, Timestamp now);
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -33,7 +33,7 @@
                             [&](RequestQueue queue) { return withoutActive(std::move(queue), key); });
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(record->target);
-    Reason const obstacle = this->runner.obstacle(record->target, now);
+    Reason const obstacle = this->runner.obstacle(record->target);
     if (obstacle != Reason::None || routed == nullptr) {
         if (!this->spill(key, *record, now))
             this->outcomes.refuse(key, phase, obstacle, Duration::zero(), now);
@@ -101,6 +101,32 @@
            });
 }
 
+void RequestAdmission::leaveToSuccessor(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(record.target);
+    if (routed == nullptr)
+        return;
+    if (record.idempotency == Idempotency::NonIdempotent) {
+        this->outcomes.refuse(key, RequestPhase::Queued, Reason::LeaseExpired, Duration::zero(), now);
+        return;
+    }
+    auto const moved = this->markElsewhere(key, RequestPhase::Queued, routed->dispatcher,
+                                           ForwardPurpose::Spill, {record.target}, now);
+    if (moved)
+        this->passOn(*moved, moved->caller, moved->hops, this->forwardable(key, record, now));
+}
+
+Request RequestAdmission::forwardable(RequestKey key, RequestRecord const &record, Timestamp now) const
+{
+    return {.key = key,
+            .attempt = record.attempt,
+            .requestClass = record.requestClass,
+            .idempotency = record.idempotency,
+            .timeLeft = record.deadline - now,
+            .payload = record.payload ? *record.payload : ""};
+}
+
 // A located request has promises of other instances, and a recorded one has records, for this dispatcher
 // only.
 bool RequestAdmission::isPinned(RequestKey key, RequestRecord const &record, Timestamp now) const
@@ -144,13 +170,7 @@
                                            ForwardPurpose::Spill, {target->record.id}, now);
     if (!moved)
         return true;
-    this->passOn(*moved, moved->caller, moved->hops,
-                 Request{.key = key,
-                         .attempt = moved->attempt,
-                         .requestClass = moved->requestClass,
-                         .idempotency = moved->idempotency,
-                         .timeLeft = moved->deadline - now,
-                         .payload = record.payload ? *record.payload : ""});
+    this->passOn(*moved, moved->caller, moved->hops, this->forwardable(key, record, now));
     return true;
 }
 
@@ -163,7 +183,7 @@
     InstanceId const self = this->store.self();
     auto const hasRoom = [&](RoutedTarget const &target) {
         return target.record.id != record.target && target.dispatcher == self && this->isInService(target)
-            && this->runner.obstacle(target.record.id, now) == Reason::None
+            && this->runner.obstacle(target.record.id) == Reason::None
             && expectedWait(record.requestClass, this->store.queue(target.record.id),
                             this->store.usage(target.record.id), target.limits, now)
             == Duration::zero()
@@ -242,12 +262,16 @@
 
 void RequestAdmission::handleRecordReply(InstanceId from, RecordReply const &reply, Timestamp now)
 {
-    if (reply.tryId == 0) { // The answer to a Locate; see handleLocate.
-        this->addAnswer(from, reply.key, &LocateProgress::unable, now);
+    if (reply.tryId == 0) { // The answer to a Locate; see LocateVerdictHere.
+        bool const isRecorded = reply.verdict == RecordVerdict::AlreadyRecorded;
+        auto const list = isRecorded ? &LocateProgress::recorded : &LocateProgress::unable;
+        this->addAnswer(from, reply.key, list, now);
         return;
     }
+    // After the quorum is complete, replies still tell whether a successor would know of the request.
     auto const isExpected = [&](RequestRecord const &current) {
-        return current.phase == RequestPhase::Recording && current.recordId == reply.tryId
+        bool const isQueued = current.phase == RequestPhase::Queued && reply.verdict == RecordVerdict::Stored;
+        return (current.phase == RequestPhase::Recording || isQueued) && current.recordId == reply.tryId
             && std::ranges::find(current.group, from) != current.group.end();
     };
     auto const record =
@@ -262,7 +286,7 @@
                     next, {.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost}, now);
             if (std::ranges::find(next.storedBy, from) == next.storedBy.end())
                 next.storedBy.push_back(from);
-            if (next.storedBy.size() >= recordQuorum) {
+            if (current.phase == RequestPhase::Recording && next.storedBy.size() >= recordQuorum) {
                 next.phase = RequestPhase::Queued;
                 next.phaseSince = now;
             }
--- a/Libraries/LibRequests/RequestSettings.h
+++ b/Libraries/LibRequests/RequestSettings.h
@@ -39,7 +39,6 @@
     // A timeout noticed later than this after it was due means that the process was paused, and that another
     // instance may have taken over. Shorter than the 3 s that a takeover needs.
     Duration pauseTolerance = 1s;
-    Duration dispatchHandover = 3s; // How long a former dispatcher still starts what it has queued.
 
     Duration askForPartsAfter = 200ms; // Silence after which gaps in an answer are asked for.
     Duration askForTailAfter = 500ms; // The same when it is not known whether parts are missing.
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -18,28 +18,22 @@
 {
 }
 
-Reason TryRunner::obstacle(TargetId target, Timestamp now) const
+Reason TryRunner::obstacle(TargetId target) const
 {
-    auto const status = this->store.board().ownStatus.read();
-    if (status->lease != LeaseState::Held)
+    if (this->store.board().ownStatus.read()->lease != LeaseState::Held)
         return Reason::LeaseExpired;
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(target);
     if (routed == nullptr
         || (routed->record.state != TargetState::Starting && routed->record.state != TargetState::Warm))
         return Reason::NoTarget;
-    if (routed->dispatcher == status->self.id)
-        return Reason::None;
-    // The successor counts all slots as busy for longer than this, so both together stay within the limit.
-    auto const lostAt = this->store.queue(target).dispatchLostAt;
-    bool const isHandover = !lostAt || now - *lostAt < this->store.times().dispatchHandover;
-    return isHandover ? Reason::None : Reason::LeaseExpired;
+    return Reason::None;
 }
 
 void TryRunner::dispatch(TargetId target, Timestamp now)
 {
     auto const isReadyHere = [&](RequestKey key) { return this->isReady(key, target, now); };
-    while (this->obstacle(target, now) == Reason::None) {
+    while (this->obstacle(target) == Reason::None) {
         auto const view = this->store.view();
         RoutedTarget const *const routed = view->findTarget(target);
         if (routed == nullptr)
@@ -61,15 +55,22 @@
     if (!record || record->phase != RequestPhase::Queued || record->target != target
         || record->notBefore > now || record->deadline <= now)
         return false;
+    return this->isStillOurs(*record, now);
+}
+
+bool TryRunner::isStillOurs(RequestRecord const &record, Timestamp now) const
+{
     auto const view = this->store.view();
-    RoutedTarget const *const routed = view->findTarget(target);
-    if (routed == nullptr || routed->dispatcher == this->store.self())
+    RoutedTarget const *const routed = view->findTarget(record.target);
+    if (routed == nullptr || routed->dispatcher.isNone() || routed->dispatcher == this->store.self())
+        return true;
+    // A successor that holds the record counts all slots as busy until the deadline of the request.
+    if (std::ranges::find(record.storedBy, routed->dispatcher) != record.storedBy.end())
         return true;
-    // The successor stops counting the slots of this instance after `slotGrace`; its view may have changed
-    // earlier than the one here.
+    // Any other successor stops that after `slotGrace`; its view may have changed earlier than the one here.
     auto const &times = this->store.times();
-    Timestamp const lostAt = this->store.queue(target).dispatchLostAt.value_or(now);
-    return record->deadline <= lostAt + times.slotGrace - times.pauseTolerance;
+    Timestamp const lostAt = this->store.queue(record.target).dispatchLostAt.value_or(now);
+    return record.deadline <= lostAt + times.slotGrace - times.pauseTolerance;
 }
 
 bool TryRunner::startTry(RequestKey key, RoutedTarget const &target, Timestamp now)
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -37,7 +37,10 @@
     void checkTargetProcess(RequestKey key, RequestRecord const &record, Timestamp now);
 
     // Why no request may start at the target now, or None.
-    Reason obstacle(TargetId target, Timestamp now) const;
+    Reason obstacle(TargetId target) const;
+
+    // Whether a waiting request may still be started here although another instance has become dispatcher.
+    bool isStillOurs(RequestRecord const &record, Timestamp now) const;
 
 private:
     bool isReady(RequestKey key, TargetId target, Timestamp now) const;
--- a/Libraries/LibState/RequestRecord.h
+++ b/Libraries/LibState/RequestRecord.h
@@ -58,7 +58,8 @@
     std::vector<InstanceId> mustAnswer; // Every asked instance that is not known to be dead.
     std::vector<std::vector<InstanceId>> groups; // Replica groups of all targets of the service.
     std::vector<InstanceId> notKnown; // Answered that they don't know it and vouch for their memory.
-    std::vector<InstanceId> known;
+    std::vector<InstanceId> known; // Queue or run it, or hold its outcome.
+    std::vector<InstanceId> recorded; // Hold a record, a promise or a hint for another instance.
     std::vector<InstanceId> unable; // Answered, but have started too recently to vouch.
 
     friend bool operator==(LocateProgress const &, LocateProgress const &) = default;
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -158,13 +158,15 @@
 {
     std::vector<MemberRecord> members;
     for (FakeInstance const &known : this->instances) {
-        bool const isDead = known.isDeclaredDead;
+        auto const state = known.isDeclaredDead ? MemberState::Dead
+            : known.isLeaving                   ? MemberState::Leaving
+                                                : MemberState::Alive;
         members.push_back({.id = known.id,
                            .name = {},
                            .failureDomain = known.domain,
                            .peerEndpoint = {},
                            .httpEndpoint = {},
-                           .state = isDead ? MemberState::Dead : MemberState::Alive});
+                           .state = state});
         instance.board->members.update(known.id, [&](auto const &) { return std::optional(members.back()); });
     }
     auto routes = std::make_shared<ServiceRoutes>();
@@ -491,6 +493,13 @@
     this->refreshViews();
 }
 
+void FakeCluster::stop(std::size_t index)
+{
+    this->instances[index].isLeaving = true;
+    this->instances[index].controller->beginStop(this->now);
+    this->refreshViews();
+}
+
 void FakeCluster::freeze(std::size_t index, Duration duration)
 {
     FakeInstance &instance = this->instances[index];
--- a/Tests/LibRequests/FakeCluster.h
+++ b/Tests/LibRequests/FakeCluster.h
@@ -49,6 +49,7 @@
     bool isAlive = true;
     bool isFrozen = false;
     bool isDeclaredDead = false;
+    bool isLeaving = false;
     unsigned incarnation = 0;
     std::vector<std::function<void()>> inbox{}; // Arrived while frozen.
     std::set<TargetId> dispatched{};
@@ -78,6 +79,7 @@
 
     void kill(std::size_t index); // Loses the blackboard; declared dead 3 s later.
     void restart(std::size_t index);
+    void stop(std::size_t index); // Planned; it stays until it is idle.
     void freeze(std::size_t index, Duration duration);
     void restartTarget(std::size_t index);
     void moveBuckets(); // Gives every bucket to the other target.
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -60,6 +60,8 @@
             return status;
         });
         this->setView(slots);
+        for (InstanceId const known : {self, member, otherDispatcher})
+            this->board.members.update(known, [](auto const &) { return std::optional(MemberRecord{}); });
         this->controller = std::make_unique<RequestController>(this->board, settings, outbox,
                                                                [this] { return mixBits(this->random++); });
     }
@@ -104,7 +106,7 @@
 
     Request sendIdempotent(std::uint64_t number, RequestClass requestClass = RequestClass::Urgent)
     {
-        auto const sent = request(number, requestClass, Idempotency::Idempotent);
+        auto sent = request(number, requestClass, Idempotency::Idempotent);
         this->send(sent);
         return sent;
     }
@@ -176,6 +178,7 @@
     CPPUNIT_TEST(silentTryIsRepeatedAndKeepsItsSlot);
     CPPUNIT_TEST(cancelledRequestsEndOnce);
     CPPUNIT_TEST(expiredRequestsGetTrueOutcomes);
+    CPPUNIT_TEST(locateReplyIsAPromise);
     CPPUNIT_TEST(spilledRequestsStayThere);
     CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
     CPPUNIT_TEST(finalOutcomeIsRepeated);
@@ -322,6 +325,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
     }
 
+    // Guards against a late first send that runs after a resend of it was located from elsewhere.
+    void locateReplyIsAPromise()
+    {
+        Harness harness;
+        auto const request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = request.key}, harness.now);
+        CPPUNIT_ASSERT(std::get<LocateReply>(harness.toInstance.back().second).verdict
+                       == LocateVerdict::NotKnown);
+        harness.send(request);
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        CPPUNIT_ASSERT(std::holds_alternative<Forwarded>(harness.toInstance.back().second));
+        RecordRequest const foreign{
+            .key = request.key, .target = secondTarget, .dispatcher = member, .tryId = 1, .keepFor = 30s};
+        harness.controller->handlePeerMessage(member, foreign, harness.now);
+        CPPUNIT_ASSERT(std::get<RecordReply>(harness.toInstance.back().second).verdict
+                       == RecordVerdict::AlreadyRecorded);
+        CPPUNIT_ASSERT(harness.runs().empty());
+    }
+
     // Guards against a spilled request that runs here, too, when it is sent again.
     void spilledRequestsStayThere()
     {
--- a/Tests/LibRequests/RequestFaultsTest.cpp
+++ b/Tests/LibRequests/RequestFaultsTest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(lossyLinksKeepOutcomesTrue);
     CPPUNIT_TEST(anyFaultsKeepOutcomesTrue);
     CPPUNIT_TEST(killedDispatcherLeavesUnknownOutcomes);
+    CPPUNIT_TEST(plannedStopCutsOffNothing);
     CPPUNIT_TEST(groupOfOneRefusesOnlyNonIdempotent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +128,28 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Guards against a planned stop that cuts off requests, also when their callers resend to the successor.
+    void plannedStopCutsOffNothing()
+    {
+        bool const holds = rc::check("planned stop", [] {
+            FakeCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), {}, {3, 3});
+            cluster.maxServiceTime = 1500ms;
+            std::vector<RequestKey> accepted;
+            for (int count = 0; count < 6; ++count)
+                accepted.push_back(cluster.send(RequestClass::Urgent, Idempotency::NonIdempotent, 4900ms));
+            cluster.run(120ms);
+            auto const stopped =
+                static_cast<std::size_t>(&cluster.dispatcherOf(0) - cluster.instances.data());
+            cluster.stop(stopped);
+            cluster.run(settleTime);
+            checkInvariants(cluster);
+            for (RequestKey const key : accepted)
+                RC_ASSERT(cluster.caller(key).outcome == RequestOutcome::Answered);
+            RC_ASSERT(cluster.instances[stopped].controller->isIdle());
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
     // Guards against a run without a second copy of the record, and against refusing what needs no record.
     void groupOfOneRefusesOnlyNonIdempotent()
     {
