--- a/Libraries/LibRequests/RequestController.cpp
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -89,6 +89,8 @@
 {
     if (auto const *const request = std::get_if<RecordRequest>(&message)) {
         auto const verdict = this->replicas.record(*request, now);
+        if (verdict == RecordVerdict::Stored)
+            this->extendTakeover(*request, now);
         this->outbox.sendToInstance(
             from, RecordReply{.key = request->key, .tryId = request->tryId, .verdict = verdict});
     } else if (auto const *const reply = std::get_if<RecordReply>(&message)) {
@@ -125,6 +127,25 @@
         fmt::format("target {:x}, {} slots, {} ms", target.value, slots, (until - now) / 1ms));
 }
 
+void RequestController::extendTakeover(RecordRequest const &request, Timestamp now)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(request.target);
+    if (routed == nullptr || routed->dispatcher != this->store.self())
+        return;
+    // The former dispatcher has not seen the change yet, or finishes what it has queued.
+    Timestamp const deadline = now + request.keepFor - this->settings.keepAfterDeadline;
+    this->blackboard.usage.update(
+        request.target, [&](std::optional<TargetUsage> const &current) -> std::optional<TargetUsage> {
+            if (current && now < current->inheritedUntil && current->inheritedUntil >= deadline)
+                return std::nullopt;
+            TargetUsage next = current.value_or(TargetUsage{});
+            next.inheritedSlots = std::max(next.inheritedSlots, routed->fullLimits.slots);
+            next.inheritedUntil = std::max(next.inheritedUntil, deadline);
+            return next;
+        });
+}
+
 void RequestController::tick(Timestamp now)
 {
     for (auto const &[target, queue] : this->blackboard.queues.entries())
@@ -137,6 +158,8 @@
 
 void RequestController::tickTarget(TargetId target, RequestQueue const &queue, Timestamp now)
 {
+    if (this->store.view()->findTarget(target) == nullptr)
+        this->store.forgetEmptyQueue(target);
     this->noteDispatcher(target, now);
     for (auto const &waiting : queue.waiting) {
         for (RequestKey const key : waiting)
@@ -145,9 +168,9 @@
     for (RequestKey const key : queue.active)
         this->tickRequest(key, now);
     this->store.tidyQueue(target);
-    Reason const obstacle = this->runner.obstacle(target, now);
+    Reason const obstacle = this->runner.obstacle(target);
     if (obstacle != Reason::None)
-        this->refuseWaiting(target, queue, obstacle, now);
+        this->emptyQueue(queue, obstacle, now);
     else
         this->runner.dispatch(target, now);
 }
@@ -158,6 +181,10 @@
     if (!record)
         return;
     this->runner.checkTargetProcess(key, *record, now);
+    if (record->phase == RequestPhase::Queued && !this->runner.isStillOurs(*record, now)) {
+        this->admission.leaveToSuccessor(key, *record, now);
+        return;
+    }
     RequestStep const step = nextStep(*record, this->settings, now);
     if (step == RequestStep::None)
         return;
@@ -167,16 +194,18 @@
         this->admission.takeStep(key, step, now);
 }
 
-void RequestController::refuseWaiting(TargetId target, RequestQueue const &queue, Reason reason,
-                                      Timestamp now)
+void RequestController::emptyQueue(RequestQueue const &queue, Reason reason, Timestamp now)
 {
-    static_cast<void>(target);
-    for (auto const &waiting : queue.waiting) {
-        for (RequestKey const key : waiting) {
-            for (auto const phase : {RequestPhase::Recording, RequestPhase::Queued})
-                this->outcomes.refuse(key, phase, reason, Duration::zero(), now);
+    auto const leave = [&](RequestKey key) {
+        if (reason == Reason::NoTarget) {
+            this->admission.leaveTarget(key, now);
+            return;
         }
-    }
+        for (auto const phase : {RequestPhase::Recording, RequestPhase::Queued})
+            this->outcomes.refuse(key, phase, reason, Duration::zero(), now);
+    };
+    for (auto const &waiting : queue.waiting)
+        std::ranges::for_each(waiting, leave);
 }
 
 void RequestController::noteDispatcher(TargetId target, Timestamp now)
@@ -184,12 +213,12 @@
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(target);
     bool const isOwn = routed != nullptr && routed->dispatcher == this->store.self();
-    bool const isNoted = this->store.queue(target).dispatchLostAt.has_value();
-    if (isOwn != isNoted)
+    auto const queue = this->blackboard.queues.read(target);
+    if (!queue || isOwn != queue->value.dispatchLostAt.has_value())
         return;
-    this->store.changeQueue(target, [&](RequestQueue queue) {
-        queue.dispatchLostAt = isOwn ? std::nullopt : std::optional(now);
-        return queue;
+    this->store.changeQueue(target, [&](RequestQueue next) {
+        next.dispatchLostAt = isOwn ? std::nullopt : std::optional(now);
+        return next;
     });
 }
 
