Membership: Keep control evidence fresh and fetched records quiet

Change: more than 64 fetched records are not spread again; control instances keep fresh evidence of each other, and are probed round robin without the dead ones; a fetch needs a difference that the peer confirms. The settle time of the ramp is removed, because no test could tell it from the rule that only a fall from above level 0 counts.

--- a/Libraries/LibMembership/ControlContacts.cpp
+++ b/Libraries/LibMembership/ControlContacts.cpp
@@ -64,6 +64,11 @@
     return contacts;
 }
 
+bool isControlInstance(ControlContacts const &contacts, InstanceId instance)
+{
+    return std::ranges::find(contacts, instance, &ControlContact::instance) != contacts.end();
+}
+
 bool hasMajorityWithin(ControlContacts const &contacts, Duration age, Timestamp now)
 {
     auto const recent = std::ranges::count_if(contacts, [age, now](ControlContact const &contact) {
--- a/Libraries/LibMembership/ControlContacts.h
+++ b/Libraries/LibMembership/ControlContacts.h
@@ -41,6 +41,8 @@
 
 ControlContacts forgetEvidence(ControlContacts contacts);
 
+bool isControlInstance(ControlContacts const &contacts, InstanceId instance);
+
 // Whether a majority has evidence that is at most this old.
 bool hasMajorityWithin(ControlContacts const &contacts, Duration age, Timestamp now);
 
--- a/Libraries/LibMembership/MembershipController.cpp
+++ b/Libraries/LibMembership/MembershipController.cpp
@@ -144,13 +144,17 @@
     auto view = PeerView::Current;
     auto const self = this->own().id;
     for (MemberRecord const &member : gossip.members) {
-        if (member.id != self)
-            this->learnMember(member, now);
-        else if (this->learnOwn(member) == PeerView::Outdated)
-            view = PeerView::Outdated;
+        if (member.id == self) {
+            if (this->learnOwn(member) == PeerView::Outdated)
+                view = PeerView::Outdated;
+        } else if (this->learnMember(member, now)) {
+            queueMember(this->blackboard, member.id, this->maximumTransmissions());
+        }
+    }
+    for (TargetRecord const &target : gossip.targets) {
+        if (this->learnTarget(target))
+            queueTarget(this->blackboard, target.id, this->maximumTransmissions());
     }
-    for (TargetRecord const &target : gossip.targets)
-        this->learnTarget(target);
     // A peer that is not known yet is kept as a member that may be answered; it has to send its record.
     this->addUnknownPeer(from, fromEndpoint, now);
     this->configurationSeen.update([&](ConfigurationSeen const &seen) {
@@ -212,7 +216,7 @@
     queueMember(this->blackboard, record.id, this->maximumTransmissions());
 }
 
-void MembershipController::learnMember(MemberRecord const &received, Timestamp now)
+bool MembershipController::learnMember(MemberRecord const &received, Timestamp now)
 {
     std::optional<MemberRecord> merged;
     std::optional<MemberState> before;
@@ -222,9 +226,8 @@
         return merged;
     });
     if (!merged)
-        return;
+        return false;
     this->noteState(*merged, now);
-    queueMember(this->blackboard, merged->id, this->maximumTransmissions());
     // The member learns of the report from the ping and can refute it in time.
     if (received.state == MemberState::Dead && before == MemberState::Alive)
         this->sendPing(merged->id, Probe{.subject = merged->id, .sentAt = now}, now);
@@ -232,6 +235,7 @@
         this->outbox.report(Event::MemberAlive, merged->name);
     if (merged->state == MemberState::Dead)
         this->outbox.report(Event::MemberDead, merged->name);
+    return true;
 }
 
 bool MembershipController::learnTarget(TargetRecord const &received)
@@ -243,8 +247,6 @@
         isChanged = merged.has_value();
         return merged;
     });
-    if (isChanged)
-        queueTarget(this->blackboard, received.id, this->maximumTransmissions());
     return isChanged;
 }
 
@@ -344,8 +346,9 @@
                                         std::span<TargetRecord const> targets, Timestamp now)
 {
     auto const self = this->own().id;
-    auto const before = this->recordsDigest();
     std::vector<InstanceId> contradicted;
+    std::vector<InstanceId> newMembers;
+    std::vector<TargetId> newTargets;
     for (MemberRecord const &member : members) {
         if (member.incarnation == 0)
             continue;
@@ -354,11 +357,14 @@
             this->learnOwn(member);
         else if (known && isContradiction(member, known->value))
             contradicted.push_back(member.id);
-        else
-            this->learnMember(member, now);
+        else if (this->learnMember(member, now))
+            newMembers.push_back(member.id);
     }
-    for (TargetRecord const &target : targets)
-        this->learnTarget(target);
+    for (TargetRecord const &target : targets) {
+        if (this->learnTarget(target))
+            newTargets.push_back(target.id);
+    }
+    this->spreadFetched(newMembers, newTargets);
     // Whether a member is dead is found out by probing it, not by believing one of two sides.
     this->probeSchedule.update([&](ProbeSchedule schedule) {
         schedule.contradicted = shuffled(contradicted, this->randomSource());
@@ -368,10 +374,23 @@
         contact.hasRecords = true;
         return contact;
     });
-    auto const result = this->recordsDigest() == before ? FetchResult::NothingNew : FetchResult::NewRecords;
+    auto const result =
+        newMembers.empty() && newTargets.empty() ? FetchResult::NothingNew : FetchResult::NewRecords;
     this->digestWatch.update([result](DigestWatch const &watch) { return noteFetchResult(watch, result); });
 }
 
+// A record that all its updates have missed is spread again, so that not every instance has to fetch it.
+void MembershipController::spreadFetched(std::span<InstanceId const> members,
+                                         std::span<TargetId const> targets)
+{
+    if (members.size() + targets.size() > mostFetchedRecordsToSpread)
+        return;
+    for (InstanceId const member : members)
+        queueMember(this->blackboard, member, this->maximumTransmissions());
+    for (TargetId const target : targets)
+        queueTarget(this->blackboard, target, this->maximumTransmissions());
+}
+
 std::uint64_t MembershipController::recordsDigest() const
 {
     std::uint64_t digest = 0;
--- a/Libraries/LibMembership/MembershipController.h
+++ b/Libraries/LibMembership/MembershipController.h
@@ -136,8 +136,10 @@
     PeerView absorb(InstanceId from, Endpoint fromEndpoint, Gossip const &gossip, Timestamp now);
     PeerView learnOwn(MemberRecord const &received);
     void addUnknownPeer(InstanceId peer, Endpoint endpoint, Timestamp now);
-    void learnMember(MemberRecord const &received, Timestamp now);
+    bool learnMember(MemberRecord const &received, Timestamp now);
+    // Both return whether the record was news; the caller queues it for spreading.
     bool learnTarget(TargetRecord const &received);
+    void spreadFetched(std::span<InstanceId const> members, std::span<TargetId const> targets);
     void noteState(MemberRecord const &record, Timestamp now);
     void noteAck(InstanceId from, Gossip const &gossip, Timestamp sentAt);
 
--- a/Libraries/LibMembership/MembershipSettings.h
+++ b/Libraries/LibMembership/MembershipSettings.h
@@ -23,6 +23,9 @@
 // The lease ends before the others can consider this instance dead: they need at least two ack timeouts and
 // the suspicion period after the last probe that it answered.
 constexpr Duration leasePeriod = 2s;
+// Fetched records are spread further only up to this number. More of them mean that this instance has joined
+// or returned, and that the others know them already.
+constexpr std::size_t mostFetchedRecordsToSpread = 64;
 // A longer gap between two ticks means that the process was paused and its view is outdated.
 constexpr Duration pauseLimit = 1s;
 // An instance that finds nobody serves what it can after this time.
@@ -30,7 +33,10 @@
 
 constexpr Duration majorityContactPeriod = 4s;
 // Below this age of the majority's evidence no control instance is probed out of turn.
-constexpr Duration controlProbeAge = 2s;
+constexpr Duration controlProbeAge = 2500ms;
+constexpr Duration controlProbeInterval = 500ms;
+// Control instances keep fresh evidence of each other, so that one ack of any of them brings all of it.
+constexpr Duration controlProbeAgeOfControlInstance = 500ms;
 
 struct MembershipSettings
 {
--- a/Libraries/LibMembership/MembershipTick.cpp
+++ b/Libraries/LibMembership/MembershipTick.cpp
@@ -113,30 +113,33 @@
         this->sendPing(subject, Probe{.subject = subject, .sentAt = now}, now);
 }
 
-// When the evidence from peers gets old, control instances are probed out of turn, in random order, so that
-// the dead ones do not block the rest.
+// When the evidence from peers gets old, control instances are probed out of turn, round robin over those
+// that are not known to be dead.
 void MembershipController::probeControlInstances(Timestamp now)
 {
     auto const contacts = this->controlContacts.read();
-    if (hasMajorityWithin(*contacts, controlProbeAge, now))
+    auto const self = this->own().id;
+    auto const age = isControlInstance(*contacts, self) ? controlProbeAgeOfControlInstance : controlProbeAge;
+    if (hasMajorityWithin(*contacts, age, now) || now < this->probeSchedule.read()->controlDue)
         return;
-    bool isDue = false;
-    this->probeSchedule.update([&isDue, now](ProbeSchedule schedule) {
-        isDue = now >= schedule.controlDue;
-        if (isDue)
-            schedule.controlDue = now + ownDomainProbeInterval;
+    std::vector<InstanceId> subjects;
+    for (ControlContact const &contact : *contacts) {
+        auto const member = this->blackboard.members.read(contact.instance);
+        if (member && contact.instance != self && member->value.state != MemberState::Dead)
+            subjects.push_back(contact.instance);
+    }
+    std::optional<InstanceId> subject;
+    this->probeSchedule.update([&](ProbeSchedule schedule) {
+        subject = std::nullopt;
+        if (subjects.empty() || now < schedule.controlDue)
+            return schedule;
+        schedule.controlDue = now + controlProbeInterval;
+        schedule.controlNext = (schedule.controlNext + 1) % subjects.size();
+        subject = subjects[schedule.controlNext];
         return schedule;
     });
-    if (!isDue)
-        return;
-    auto order = *contacts;
-    std::erase_if(order, [this](ControlContact const &contact) {
-        return contact.instance == this->own().id || !this->blackboard.members.contains(contact.instance);
-    });
-    if (order.empty())
-        return;
-    auto const subject = order[this->randomSource() % order.size()].instance;
-    this->sendPing(subject, Probe{.subject = subject, .sentAt = now}, now);
+    if (subject)
+        this->sendPing(*subject, Probe{.subject = *subject, .sentAt = now}, now);
 }
 
 void MembershipController::confirmDigestDifference(Timestamp now)
--- a/Libraries/LibMembership/ProbeSchedule.h
+++ b/Libraries/LibMembership/ProbeSchedule.h
@@ -26,6 +26,7 @@
     ProbeRound otherDomains;
     ProbeRound absent;
     Timestamp controlDue;
+    std::size_t controlNext = 0;
     // Members of which a peer holds a contradicting record; they are probed before the round goes on.
     std::vector<InstanceId> contradicted;
 
--- a/Libraries/LibTargets/Ramp.cpp
+++ b/Libraries/LibTargets/Ramp.cpp
@@ -54,11 +54,11 @@
 
 RampProgress fall(RampProgress progress, RampCounts const &counts, Timestamp now)
 {
-    bool const isSettling = progress.lastFall && now - *progress.lastFall < fallSettleTime;
-    if (!isSettling && progress.level > 0)
+    // Sheds of work that was sent before a fall still arrive at level 0 and are no second fall.
+    if (progress.level > 0) {
         setCeiling(progress, now);
-    if (!isSettling)
         progress.lastFall = now;
+    }
     startLevel(progress, 0, counts, now);
     startSlowWindow(progress, counts, now);
     return progress;
--- a/Libraries/LibTargets/Ramp.h
+++ b/Libraries/LibTargets/Ramp.h
@@ -23,8 +23,6 @@
 // A burst of short requests could otherwise lift a cold target through all levels before its caches are
 // filled.
 constexpr Duration minimumTimeAtLevel = 1s;
-// Sheds of work that was sent before a fall still arrive for some time and are no second fall.
-constexpr Duration fallSettleTime = 1s;
 constexpr Duration fallMemory = 60s;
 constexpr Duration shortestCeiling = 30s;
 constexpr Duration longestCeiling = 8min;
--- a/Libraries/LibTargets/TargetController.cpp
+++ b/Libraries/LibTargets/TargetController.cpp
@@ -31,6 +31,15 @@
     return first == second;
 }
 
+// The checks of a target fall on a point of the interval that its id decides, so that they are spread.
+Timestamp nextCheckOf(TargetId target, Duration interval, Timestamp now)
+{
+    auto const phase =
+        Duration(static_cast<Duration::rep>(target.value % static_cast<std::uint64_t>(interval.count())));
+    auto const passed = (now.time_since_epoch() - phase) / interval;
+    return Timestamp((passed + 1) * interval + phase);
+}
+
 } // namespace
 
 TargetController::TargetController(Blackboard &board, TargetSettings const &targetSettings, Outbox hooks)
@@ -184,23 +193,21 @@
     std::vector<TargetCheck> checks;
     if (!this->isServing())
         return checks;
-    for (auto const &[target, entry] : this->progress.entries()) {
+    for (auto const &entry : this->progress.entries()) {
+        TargetId const target = entry.first;
+        auto const due = nextCheckOf(target, this->settings.checkInterval, now);
         bool isDue = false;
-        this->progress.update(target, [&](std::optional<TargetProgress> const &current) {
-            isDue = current && now >= current->nextCheck;
-            auto next = isDue ? current : std::nullopt;
-            if (next) {
-                // The first check falls on a point of the interval that the id decides.
-                auto const interval = this->settings.checkInterval;
-                auto const phase = Duration(
-                    static_cast<Duration::rep>(target.value % static_cast<std::uint64_t>(interval.count())));
-                auto const begin = now.time_since_epoch() - phase;
-                next->nextCheck = Timestamp((begin / interval + 1) * interval + phase);
-            }
+        this->progress.update(target, [&isDue, due, now](std::optional<TargetProgress> const &current) {
+            auto next = current;
+            isDue = next && now >= next->nextCheck;
+            if (!isDue)
+                return std::optional<TargetProgress>{};
+            next->nextCheck = due;
             return next;
         });
         if (isDue)
-            checks.push_back(TargetCheck{.target = target, .httpEndpoint = entry.announcement.httpEndpoint});
+            checks.push_back(
+                TargetCheck{.target = target, .httpEndpoint = entry.second.announcement.httpEndpoint});
     }
     return checks;
 }
@@ -275,7 +282,7 @@
 std::shared_ptr<TargetController::ServiceIndex const> TargetController::serviceIndex()
 {
     auto const configuration = this->blackboard.configuration.read();
-    auto const index = this->services.read();
+    auto index = this->services.read();
     if (index->configurationVersion == configuration->version)
         return index;
     return this->services.update([&configuration](ServiceIndex const &) {
--- a/Libraries/LibTargets/TargetProgress.cpp
+++ b/Libraries/LibTargets/TargetProgress.cpp
@@ -66,7 +66,7 @@
     progress.origin = Origin::TakenOver;
     progress.ramp = startRamp(record.rampLevel, RampCounts::of(usage), now);
     if (record.state == TargetState::Unhealthy)
-        progress.health = exclude(std::move(progress.health), now);
+        progress.health = exclude(progress.health, now);
     return progress;
 }
 
--- a/Tests/LibMembership/FakeCluster.cpp
+++ b/Tests/LibMembership/FakeCluster.cpp
@@ -176,7 +176,8 @@
         return;
     auto const from = this->indexOf(*peer);
     auto const &source = this->nodes[from];
-    if (!source.isRunning || source.isPaused || this->isCut(index, from) || this->isCut(from, index))
+    if (!this->canFetch || !source.isRunning || source.isPaused || this->isCut(index, from)
+        || this->isCut(from, index))
         return;
     this->nodes[index].controller->mergeRecords(valuesOf(source.blackboard->members),
                                                 valuesOf(source.blackboard->targets), this->now);
--- a/Tests/LibMembership/FakeCluster.h
+++ b/Tests/LibMembership/FakeCluster.h
@@ -64,6 +64,7 @@
 
     std::vector<FakeNode> nodes;
     LinkFaults faults;
+    bool canFetch = true; // Whether records can be fetched over HTTP.
     Cut isCut = [](std::size_t, std::size_t) { return false; };
     // Runs after each step of 50 ms.
     std::function<void()> inspect = [] {};
--- a/Tests/LibMembership/MembershipTest.cpp
+++ b/Tests/LibMembership/MembershipTest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(ownTargetRecordYieldsOnlyToHigherEpoch);
     CPPUNIT_TEST(messagesStaySmall);
     CPPUNIT_TEST(missedUpdateIsFetched);
+    CPPUNIT_TEST(fetchNeedsConfirmedDifference);
     CPPUNIT_TEST(callsFromSeveralThreads);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,10 +173,18 @@
     }
 
     // Guards against a failure domain that stops serving because it is cut off, and against members that stay
-    // dead after a partition that lasted longer than all suspicions.
+    // dead after a partition that lasted longer than all suspicions, be it that records can be fetched or
+    // not.
     void bothSidesOfPartitionServe()
+    {
+        this->checkPartition([](FakeCluster &) {});
+        this->checkPartition([](FakeCluster &cluster) { cluster.canFetch = false; });
+    }
+
+    void checkPartition(std::function<void(FakeCluster &)> const &prepare)
     {
         RunningCluster cluster(2);
+        prepare(cluster);
         cluster.isCut = [](std::size_t from, std::size_t to) { return isEven(from) != isEven(to); };
         cluster.run(20s);
         CPPUNIT_ASSERT(cluster.sees(0, 1, MemberState::Dead));
@@ -321,6 +330,33 @@
         CPPUNIT_ASSERT(cluster.isConverged());
     }
 
+    // Guards against fetches of all records after each change: a difference while updates are on their way is
+    // no reason, nor one that the peer does not confirm.
+    void fetchNeedsConfirmedDifference()
+    {
+        InstanceId const peer{1};
+        auto const begin = Timestamp(100s);
+        auto const normal = FetchUrgency::Normal;
+        auto watch = notePeerDigest({}, peer, 10, 20, begin);
+        CPPUNIT_ASSERT(peerToFetch(watch, FetchUrgency::AtOnce, begin) == peer);
+        CPPUNIT_ASSERT(!peerToFetch(watch, normal, begin + 5s));
+        CPPUNIT_ASSERT(!peerToAsk(watch, begin + 1s));
+        CPPUNIT_ASSERT(peerToAsk(watch, begin + 3s) == peer);
+        CPPUNIT_ASSERT(!peerToAsk(noteQuestion(watch, begin + 3s), begin + 3500ms));
+        CPPUNIT_ASSERT(!notePeerDigest(watch, peer, 20, 20, begin + 3s).difference);
+        CPPUNIT_ASSERT(!noteOwnDigest(watch, 10, begin + 3s).difference);
+        CPPUNIT_ASSERT(!peerToFetch(notePeerDigest(watch, peer, 10, 21, begin + 3s), normal, begin + 3s));
+        CPPUNIT_ASSERT(!peerToFetch(notePeerDigest(watch, peer, 11, 20, begin + 3s), normal, begin + 3s));
+        watch = notePeerDigest(watch, peer, 10, 20, begin + 3s);
+        CPPUNIT_ASSERT(peerToFetch(watch, normal, begin + 3s) == peer);
+        // The next fetch waits, and longer if this one brings nothing.
+        watch = noteFetch(watch, begin + 3s);
+        watch = notePeerDigest(watch, peer, 10, 20, begin + 3s);
+        CPPUNIT_ASSERT(!peerToFetch(watch, FetchUrgency::AtOnce, begin + 3s));
+        CPPUNIT_ASSERT(watch.fetchPause > shortestFetchPause);
+        CPPUNIT_ASSERT(noteFetchResult(watch, FetchResult::NewRecords).fetchPause == shortestFetchPause);
+    }
+
     // Guards against data races between the threads of the front end; the sanitizer runs look at it.
     void callsFromSeveralThreads()
     {
--- a/Tests/LibTargets/TargetTest.cpp
+++ b/Tests/LibTargets/TargetTest.cpp
@@ -217,6 +217,11 @@
         CPPUNIT_ASSERT(fixture.record("t0").rampLevel == highestRampLevel - 1);
         fixture.wait(loweredTime);
         CPPUNIT_ASSERT(fixture.record("t0").rampLevel == highestRampLevel);
+        for (double const impossible : {-1.0, 1.5, 1e9, std::numeric_limits<double>::infinity()}) {
+            fixture.check("t0", {.answer = HealthAnswer::Healthy, .hasLoad = true, .load = impossible});
+            fixture.check("t0", {.answer = HealthAnswer::Healthy, .hasLoad = true, .load = impossible});
+        }
+        CPPUNIT_ASSERT(fixture.record("t0").rampLevel == highestRampLevel);
     }
 
     // Guards against targets of unknown services, other failure domains or borrowed names in the bucket
