--- a/Tests/LibReplication/ReplicationCoreTest.cpp
+++ b/Tests/LibReplication/ReplicationCoreTest.cpp
@@ -43,11 +43,13 @@
     CPPUNIT_TEST(evidenceOfAnEarlierHistoryPreventsBootstrap);
     CPPUNIT_TEST(wipedDiskJoinsUnderANewId);
     CPPUNIT_TEST(secondDiskIsLostRightAfterTheRepair);
+    CPPUNIT_TEST(learnerIsAdmittedOnlyOnceItHasCaughtUp);
     CPPUNIT_TEST(majorityOfWipedDisksIsRefused);
     CPPUNIT_TEST(replacedReplicaThatComesBackDoesNoHarm);
     CPPUNIT_TEST(secondReplicaOfALiveInstanceIsNotAdmitted);
     CPPUNIT_TEST(isolatedReplicaDoesNotDisturbTheLeader);
     CPPUNIT_TEST(leaderWithoutMajorityStepsDown);
+    CPPUNIT_TEST(entryOfAnEarlierTermIsNotCommittedAlone);
     CPPUNIT_TEST(staleLeaderConfirmsNoRead);
     CPPUNIT_TEST(failedSyncGivesNoAcknowledgement);
     CPPUNIT_TEST(restartAfterManyChangesRestoresTheLastState);
@@ -156,6 +158,25 @@
         requireRepaired(cluster);
     }
 
+    // Guards against a voter that is removed, or added, while its successor can't get the log.
+    void learnerIsAdmittedOnlyOnceItHasCaughtUp()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        for (int change = 0; change < 20; ++change) {
+            cluster.propose(leader);
+            cluster.run(200ms);
+        }
+        auto const voters = cluster.nodes[leader].status.voters;
+        cluster.holdBack<SnapshotPart>();
+        cluster.wipe(otherThan(leader));
+        cluster.heal();
+        cluster.run(60s);
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.voters == voters);
+        cluster.releaseHeldBack();
+        requireRepaired(cluster);
+    }
+
     // Guards against a minority that goes on alone, or a second history, when most disks were wiped.
     void majorityOfWipedDisksIsRefused()
     {
@@ -265,6 +286,47 @@
         requireRepaired(cluster);
     }
 
+    // Guards against an entry of an earlier term that is applied although a later leader may replace it
+    // (Ongaro 2014, figure 3.7).
+    void entryOfAnEarlierTermIsNotCommittedAlone()
+    {
+        Replica const self{.id = ReplicaId{1}, .instance = "a"};
+        Replica const other{.id = ReplicaId{2}, .instance = "b"};
+        std::vector const voters{self, other, Replica{.id = ReplicaId{3}, .instance = "c"}};
+        HistoryId const history{9};
+        StoredState const stored{
+            .self = self,
+            .hardState = {.history = history, .term = 2, .vote = {}, .promisedCoordinator = {}},
+            .snapshot = {.index = 1, .term = 1, .voters = voters, .state = {}},
+            .entries = {LogEntry{.index = 2, .term = 2, .kind = EntryKind::Command, .payload = "change"}}};
+        FakeDisk disk;
+        auto const random = [] { return std::uint64_t{0}; };
+        auto const ignoreEvent = [](Event, std::string const &) {};
+        auto const storage = FileStorage::open(disk.hooks(), "a", random, ignoreEvent);
+        std::size_t applied = 0;
+        ReplicationHooks const hooks{.send = [](ReplicaEnvelope const &) {},
+                                     .apply = [&](LogEntry const &) { ++applied; },
+                                     .restore = [](Snapshot const &) {},
+                                     .takeSnapshot = {},
+                                     .resolveProposal = {},
+                                     .resolveRead = {},
+                                     .mayBootstrap = {},
+                                     .random = random,
+                                     .report = ignoreEvent};
+        Timestamp const now{1h};
+        ReplicationCore core(ReplicationCluster::testSettings(), stored, (*storage)->hooks(), hooks, now);
+        core.tick(now + 10s);
+        for (VoteKind const kind : {VoteKind::Probe, VoteKind::Binding})
+            core.handleMessage({other, self, history, VoteReply{kind, 3, VoteVerdict::Granted}}, now + 10s);
+        CPPUNIT_ASSERT(core.status().role == ReplicaRole::Leader);
+        for (LogIndex const match : {2U, 3U}) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, applied);
+            core.handleMessage(
+                {other, self, history, AppendReply{3, AppendVerdict::Accepted, match, 0, 0, 0}}, now + 10s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, applied);
+    }
+
     // Guards against an operator who reads an old configuration from a leader that was replaced unnoticed.
     void staleLeaderConfirmsNoRead()
     {
