Manifest: Bound what hostile JSON can cost

Cause: the paths of deeply nested values took memory that grows with the square of the depth, errors were collected without limit, and the JSON library's message quoted raw input. Change: refuse more than 32 levels before parsing, report at most 1,000 errors and say that there are more, and escape and shorten the library's message. Conclusion: the parser can be given text from the network as long as the front end bounds its size.

--- a/Libraries/LibManifest/InputError.cpp
+++ b/Libraries/LibManifest/InputError.cpp
@@ -12,6 +12,14 @@
                        this->value, this->allowed);
 }
 
+void addError(InputErrors &errors, InputError error)
+{
+    if (errors.size() < maximumErrors)
+        errors.push_back(std::move(error));
+    else if (errors.size() == maximumErrors)
+        errors.push_back({.path = "", .value = "further errors", .allowed = "none; correct these first"});
+}
+
 std::string quotedValue(std::string_view text, std::size_t maximumLength)
 {
     std::string result = "\"";
--- a/Libraries/LibManifest/InputError.h
+++ b/Libraries/LibManifest/InputError.h
@@ -24,6 +24,12 @@
 // Never empty where it stands for a failure.
 using InputErrors = std::vector<InputError>;
 
+// Adds an error, unless there are so many that nobody would read another one. The last one then says so.
+void addError(InputErrors &errors, InputError error);
+
+// Bounds the memory that one faulty input can take.
+constexpr std::size_t maximumErrors = 1000;
+
 // Enough to recognize a value; a whole list in every message would hide the other messages.
 constexpr std::size_t maximumValueLength = 64;
 
--- a/Libraries/LibManifest/JsonReader.cpp
+++ b/Libraries/LibManifest/JsonReader.cpp
@@ -37,6 +37,30 @@
     return value.dump(-1, ' ', true, Json::error_handler_t::replace);
 }
 
+// Several times the depth of the project's documents. Paths of deeply nested values would take memory that
+// grows with the square of the depth.
+constexpr std::size_t maximumDepth = 32;
+
+// How deeply a text nests lists and objects, if it is JSON.
+std::size_t nestingDepth(std::string_view text)
+{
+    std::size_t depth = 0;
+    std::size_t deepest = 0;
+    bool isInString = false;
+    for (std::size_t position = 0; position < text.size(); ++position) {
+        char const character = text[position];
+        if (character == '"')
+            isInString = !isInString;
+        else if (isInString && character == '\\')
+            ++position;
+        else if (!isInString && (character == '[' || character == '{'))
+            deepest = std::max(deepest, ++depth);
+        else if (!isInString && (character == ']' || character == '}') && depth > 0)
+            --depth;
+    }
+    return deepest;
+}
+
 // Finds keys that occur twice in an object. The JSON library silently keeps only the last of them, so that an
 // operator's change could be lost.
 class DuplicateKeyFinder
@@ -88,7 +112,8 @@
         Frame &frame = this->frames.back();
         frame.key = key;
         if (!frame.keys.insert(key).second)
-            this->errors.push_back(
+            addError(
+                this->errors,
                 {.path = memberPath(frame.path, key), .value = "a second value", .allowed = "each key once"});
     }
 
@@ -106,17 +131,17 @@
 
 void JsonValue::report(std::string allowed) const
 {
-    this->errors->push_back(
-        {.path = this->location,
-         .value = this->node == nullptr ? "(absent)" : abbreviated(dumped(jsonOf(this->node))),
-         .allowed = std::move(allowed)});
+    addError(*this->errors,
+             {.path = this->location,
+              .value = this->node == nullptr ? "(absent)" : abbreviated(dumped(jsonOf(this->node))),
+              .allowed = std::move(allowed)});
 }
 
 void JsonValue::reportNested(InputErrors const &nested) const
 {
     for (InputError error : nested) {
         error.path = error.path.empty() ? this->location : fmt::format("{}.{}", this->location, error.path);
-        this->errors->push_back(std::move(error));
+        addError(*this->errors, std::move(error));
     }
 }
 
@@ -240,6 +265,13 @@
 
 JsonDocument::JsonDocument(std::string const &text) : errorList(std::make_unique<InputErrors>())
 {
+    if (nestingDepth(text) > maximumDepth) {
+        addError(*this->errorList,
+                 {.path = "",
+                  .value = quotedValue(text),
+                  .allowed = fmt::format("lists and objects in at most {} levels", maximumDepth)});
+        return;
+    }
     DuplicateKeyFinder finder(*this->errorList);
     auto const callback = [&finder](int, Json::parse_event_t event, Json &parsed) {
         finder.handle(event, parsed);
@@ -248,8 +280,12 @@
     try {
         this->tree = std::make_shared<Json const>(Json::parse(text, callback));
     } catch (Json::exception const &error) {
-        this->errorList->push_back(
-            {.path = "", .value = quotedValue(text), .allowed = fmt::format("JSON ({})", error.what())});
+        // The message quotes the input.
+        constexpr std::size_t maximumMessageLength = 200;
+        addError(*this->errorList,
+                 {.path = "",
+                  .value = quotedValue(text),
+                  .allowed = fmt::format("JSON ({})", quotedValue(error.what(), maximumMessageLength))});
     }
 }
 
--- a/Libraries/LibManifest/ManifestCheck.cpp
+++ b/Libraries/LibManifest/ManifestCheck.cpp
@@ -32,8 +32,8 @@
 private:
     void report(std::string path, std::string_view value, std::string allowed)
     {
-        this->errors.push_back(
-            {.path = std::move(path), .value = quotedValue(value), .allowed = std::move(allowed)});
+        addError(this->errors,
+                 {.path = std::move(path), .value = quotedValue(value), .allowed = std::move(allowed)});
     }
 
     void checkName(std::string const &path, std::string const &name)
@@ -45,17 +45,19 @@
     void checkSize(std::string const &path, std::size_t size, std::size_t minimum, std::size_t maximum)
     {
         if (size < minimum || size > maximum)
-            this->errors.push_back({.path = path,
-                                    .value = fmt::format("{} entries", size),
-                                    .allowed = fmt::format("{} to {} entries", minimum, maximum)});
+            addError(this->errors,
+                     {.path = path,
+                      .value = fmt::format("{} entries", size),
+                      .allowed = fmt::format("{} to {} entries", minimum, maximum)});
     }
 
     void checkLimit(std::string const &path, std::uint32_t limit, std::uint32_t maximum)
     {
         if (limit < 1 || limit > maximum)
-            this->errors.push_back({.path = path,
-                                    .value = fmt::format("{}", limit),
-                                    .allowed = fmt::format("a whole number from 1 to {}", maximum)});
+            addError(this->errors,
+                     {.path = path,
+                      .value = fmt::format("{}", limit),
+                      .allowed = fmt::format("a whole number from 1 to {}", maximum)});
     }
 
     // Reports each entry whose value was used by an earlier entry. `text` gives the value to show.
--- a/Libraries/LibManifest/ManifestJson.cpp
+++ b/Libraries/LibManifest/ManifestJson.cpp
@@ -88,7 +88,10 @@
         }
         return known.contains(path);
     };
-    std::ranges::copy_if(further, std::back_inserter(errors), std::not_fn(isReported));
+    for (InputError const &error : further) {
+        if (!isReported(error))
+            addError(errors, error);
+    }
 }
 
 Json limitsAndName(TargetPool const &pool)
--- a/Tests/LibManifest/ManifestJsonTest.cpp
+++ b/Tests/LibManifest/ManifestJsonTest.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(eachRuleIsChecked);
     CPPUNIT_TEST(duplicateKeysAreReported);
     CPPUNIT_TEST(hostileTextIsEscapedInMessages);
+    CPPUNIT_TEST(hostileSizesAreBounded);
     CPPUNIT_TEST(mutatedTextIsAcceptedOrReported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,20 +200,32 @@
     // Guards against input that forges log lines or sends control sequences to an operator's terminal.
     void hostileTextIsEscapedInMessages()
     {
-        std::string const long200(200, 'a');
-        for (std::string const &name :
-             {std::string("a\\nAW1000"), std::string("\\u001b[2J"), std::string("\xc2\x9b"), long200}) {
+        for (std::string const &name : {std::string("a\\nAW1000"), std::string("\\u001b[2J"),
+                                        std::string("\xc2\x9b"), std::string(200, 'a')}) {
             std::string const json =
                 replaced(replaced(example(), "zvolen", name), "\"slots\"", "\"" + name + "\"");
-            ManifestResult const result = parseManifest(json);
-            for (InputError const &error : std::get<InputErrors>(result)) {
-                std::string const text = error.toString();
-                CPPUNIT_ASSERT(std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; }));
-                CPPUNIT_ASSERT(text.size() < 300);
+            for (std::string const &text : {json, json + "\"" + name}) {
+                ManifestResult const result = parseManifest(text);
+                for (InputError const &error : std::get<InputErrors>(result)) {
+                    std::string const message = error.toString();
+                    CPPUNIT_ASSERT(std::ranges::all_of(message, [](char c) { return c >= ' ' && c <= '~'; }));
+                    CPPUNIT_ASSERT(message.size() < 400);
+                }
             }
         }
     }
 
+    // Guards against an input of a few megabytes that makes an instance use gigabytes.
+    void hostileSizesAreBounded()
+    {
+        constexpr std::size_t count = 200000;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, errorPaths(std::string(count, '[')).size());
+        std::string manyErrors = R"({"drainingTargets": [0)";
+        for (std::size_t index = 0; index < count; ++index)
+            manyErrors += ",0";
+        CPPUNIT_ASSERT_EQUAL(maximumErrors + 1, errorPaths(manyErrors + "]}").size());
+    }
+
     // Guards against a crash on damaged input, and against accepting a manifest that breaks a rule.
     void mutatedTextIsAcceptedOrReported()
     {
