Manifest: Build a test text without temporary strings

Cause: clang-tidy reported an inefficient concatenation in the test of hostile texts. Change: format the text instead; the test checks the same.

--- a/Tests/LibManifest/ManifestJsonTest.cpp
+++ b/Tests/LibManifest/ManifestJsonTest.cpp
@@ -204,7 +204,7 @@
                                         std::string("\xc2\x9b"), std::string(200, 'a')}) {
             std::string const json =
                 replaced(replaced(example(), "zvolen", name), "\"slots\"", "\"" + name + "\"");
-            for (std::string const &text : {json, json + "\"" + name}) {
+            for (std::string const &text : {json, fmt::format("{}\"{}", json, name)}) {
                 ManifestResult const result = parseManifest(text);
                 for (InputError const &error : std::get<InputErrors>(result)) {
                     std::string const message = error.toString();
