--- a/Libraries/LibFrontEnd/IoRuntime.h
+++ b/Libraries/LibFrontEnd/IoRuntime.h
@@ -46,8 +46,8 @@
     std::unique_ptr<IoContext> io;
 };
 
-// Runs pieces of work one at a time and in order, on whichever threads are free. For state with one owner at a time,
-// whose work may block on a disk, so that no lock is held meanwhile.
+// Runs pieces of work one at a time and in order, on whichever threads are free. For state with one owner at
+// a time, whose work may block on a disk, so that no lock is held meanwhile.
 class SerialQueue
 {
 public:
--- a/Services/almondwingd/ConfigurationFetcher.cpp
+++ b/Services/almondwingd/ConfigurationFetcher.cpp
@@ -17,8 +17,7 @@
 } // namespace
 
 ConfigurationFetcher::ConfigurationFetcher(IoRuntime &ioRuntime, Instance &fetchingInstance)
-    : runtime(ioRuntime)
-    , instance(fetchingInstance)
+    : runtime(ioRuntime), instance(fetchingInstance)
 {
 }
 
--- a/Services/almondwingd/ControlApi.cpp
+++ b/Services/almondwingd/ControlApi.cpp
@@ -69,12 +69,18 @@
 std::string_view rejectionText(AnnouncementRejection reason)
 {
     switch (reason) {
-    case AnnouncementRejection::InvalidName: return "the name is not valid";
-    case AnnouncementRejection::UnknownService: return "the service is not in the configuration";
-    case AnnouncementRejection::WrongFailureDomain: return "the failure domain is not the one of this instance";
-    case AnnouncementRejection::NameClash: return "another target of this name is being heard at another address";
-    case AnnouncementRejection::OutdatedStartMark: return "a newer process of this target has announced itself";
-    case AnnouncementRejection::NotServing: return "this instance is starting or stopping";
+    case AnnouncementRejection::InvalidName:
+        return "the name is not valid";
+    case AnnouncementRejection::UnknownService:
+        return "the service is not in the configuration";
+    case AnnouncementRejection::WrongFailureDomain:
+        return "the failure domain is not the one of this instance";
+    case AnnouncementRejection::NameClash:
+        return "another target of this name is being heard at another address";
+    case AnnouncementRejection::OutdatedStartMark:
+        return "a newer process of this target has announced itself";
+    case AnnouncementRejection::NotServing:
+        return "this instance is starting or stopping";
     }
     return "unknown reason";
 }
@@ -91,12 +97,8 @@
 
 ControlApi::ControlApi(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, Instance &servedInstance,
                        std::shared_ptr<ControlNode> controlNode, Metrics const &shownMetrics)
-    : runtime(ioRuntime)
-    , settings(daemonSettings)
-    , instance(servedInstance)
-    , node(std::move(controlNode))
-    , metrics(shownMetrics)
-    , operators(daemonSettings.operators)
+    : runtime(ioRuntime), settings(daemonSettings), instance(servedInstance), node(std::move(controlNode)),
+      metrics(shownMetrics), operators(daemonSettings.operators)
 {
 }
 
@@ -122,9 +124,9 @@
     else if (path == "/v1/records")
         respond(HttpResponse{.body = formatRecords(Records::of(this->instance.state()))});
     else if (path == "/v1/status")
-        respond(HttpResponse{.body = formatStatus(this->instance, this->node == nullptr
-                                                                      ? std::nullopt
-                                                                      : std::optional(this->node->status()))});
+        respond(HttpResponse{
+            .body = formatStatus(
+                this->instance, this->node == nullptr ? std::nullopt : std::optional(this->node->status()))});
     else if (path == "/v1/explain")
         respond(this->explain(request));
     else if (path == "/v1/audit")
@@ -146,9 +148,11 @@
     if (auto const *const redirected = std::get_if<AnnouncementRedirected>(&outcome)) {
         auto const member = this->instance.state().members.read(redirected->dispatcher);
         if (member)
-            respond(HttpResponse{.body = fmt::format(R"({{"redirect":"{}"}})", member->value.httpEndpoint.toString())});
+            respond(HttpResponse{
+                .body = fmt::format(R"({{"redirect":"{}"}})", member->value.httpEndpoint.toString())});
         else
-            respond(errorResponse(statusUnavailable, "the dispatcher of the target is not known yet; try again"));
+            respond(
+                errorResponse(statusUnavailable, "the dispatcher of the target is not known yet; try again"));
         return;
     }
     if (auto const *const rejected = std::get_if<AnnouncementRejected>(&outcome))
@@ -171,8 +175,9 @@
 {
     auto const operatorName = this->operators.findByToken(request.bearerToken);
     if (!operatorName) {
-        respond(errorResponse(statusUnauthorized, "the token belongs to no operator of this instance's settings; "
-                                                  "nothing was changed"));
+        respond(errorResponse(statusUnauthorized,
+                              "the token belongs to no operator of this instance's settings; "
+                              "nothing was changed"));
         return;
     }
     auto parsed = parseChangeRequest(request.body);
@@ -189,7 +194,8 @@
         this->passOnChange(request, this->otherControlInstances(), respond);
 }
 
-void ControlApi::submitHere(ChangeRequest const &change, HttpRequest const &request, HttpRespond const &respond)
+void ControlApi::submitHere(ChangeRequest const &change, HttpRequest const &request,
+                            HttpRespond const &respond)
 {
     this->node->submit(change, [this, request, respond](absl::StatusOr<ChangeOutcome> const &outcome) {
         if (outcome.ok()) {
@@ -204,23 +210,27 @@
         auto const peer = std::ranges::find_if(this->settings.peers, [&](PeerSettings const &candidate) {
             return leader && candidate.name == leader->instance;
         });
-        bool const mayPassOn
-            = peer != this->settings.peers.end() && request.parameter(passedOnParameter).empty();
+        bool const mayPassOn =
+            peer != this->settings.peers.end() && request.parameter(passedOnParameter).empty();
         if (mayPassOn)
             this->passOnChange(request, {peer->http}, respond);
         else
-            respond(errorResponse(statusUnavailable, fmt::format("nothing was changed: {}",
-                                                                 std::string(outcome.status().message()))));
+            respond(errorResponse(
+                statusUnavailable,
+                fmt::format("nothing was changed: {}", std::string(outcome.status().message()))));
     });
 }
 
-// Tries the servers one after the other. Only a server that could not be reached is passed over: after a timeout the
-// change may be under way, and the same request id makes a second try harmless but not the answer "not done" true.
-void ControlApi::passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond)
+// Tries the servers one after the other. Only a server that could not be reached is passed over: after a
+// timeout the change may be under way, and the same request id makes a second try harmless but not the answer
+// "not done" true.
+void ControlApi::passOnChange(HttpRequest const &request, std::vector<Endpoint> servers,
+                              HttpRespond const &respond)
 {
     if (servers.empty()) {
-        respond(errorResponse(statusUnavailable,
-                              "no control instance could take the change; nothing was changed by this instance"));
+        respond(
+            errorResponse(statusUnavailable,
+                          "no control instance could take the change; nothing was changed by this instance"));
         return;
     }
     Endpoint const server = servers.front();
@@ -231,17 +241,18 @@
                         .body = request.body,
                         .bearerToken = request.bearerToken,
                         .timeout = changeTimeout};
-    callHttp(this->runtime, call,
-             [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
-                 if (absl::IsDeadlineExceeded(response.status()))
-                     respond(errorResponse(statusGatewayTimeout,
-                                           "the control instance did not answer in time, so the outcome is not "
-                                           "known; resend the change with the same request id"));
-                 else if (!response.ok() || response->status == statusUnavailable)
-                     this->passOnChange(request, rest, respond);
-                 else
-                     respond(*response);
-             });
+    callHttp(
+        this->runtime, call,
+        [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
+            if (absl::IsDeadlineExceeded(response.status()))
+                respond(errorResponse(statusGatewayTimeout,
+                                      "the control instance did not answer in time, so the outcome is not "
+                                      "known; resend the change with the same request id"));
+            else if (!response.ok() || response->status == statusUnavailable)
+                this->passOnChange(request, rest, respond);
+            else
+                respond(*response);
+        });
 }
 
 HttpResponse ControlApi::explain(HttpRequest const &request) const
@@ -279,13 +290,14 @@
     }
     Endpoint const server = servers.front();
     servers.erase(servers.begin());
-    callHttp(this->runtime, HttpCall{.server = server, .target = passedOnTarget(request)},
-             [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
-                 if (response.ok())
-                     respond(*response);
-                 else
-                     this->passOnQuestion(request, rest, respond);
-             });
+    callHttp(
+        this->runtime, HttpCall{.server = server, .target = passedOnTarget(request)},
+        [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
+            if (response.ok())
+                respond(*response);
+            else
+                this->passOnQuestion(request, rest, respond);
+        });
 }
 
 namespace {
@@ -300,8 +312,8 @@
 
 } // namespace
 
-// Instances that are dead as far as this one knows are asked too: one that is only cut off from here may serve, and
-// the operator must see it as unconfirmed.
+// Instances that are dead as far as this one knows are asked too: one that is only cut off from here may
+// serve, and the operator must see it as unconfirmed.
 void ControlApi::handleCoverage(HttpRequest const &request, HttpRespond const &respond)
 {
     std::uint64_t const ownVersion = this->instance.state().configuration.read()->version;
@@ -321,16 +333,18 @@
     for (MemberRecord const &member : others) {
         HttpCall const call{
             .server = member.httpEndpoint, .target = "/v1/version", .timeout = coverageTimeout};
-        callHttp(this->runtime, call, [round, member, version, respond](absl::StatusOr<HttpResponse> const &response) {
-            auto const answered = response.ok() ? parseVersion(response->body) : std::nullopt;
-            std::scoped_lock const lock(round->mutex);
-            round->answers.push_back(
-                Coverage{.instance = member.name, .failureDomain = member.failureDomain, .version = answered});
-            if (--round->missing > 0)
-                return;
-            std::ranges::sort(round->answers, {}, &Coverage::instance);
-            respond(HttpResponse{.body = formatCoverage(version, round->answers)});
-        });
+        callHttp(this->runtime, call,
+                 [round, member, version, respond](absl::StatusOr<HttpResponse> const &response) {
+                     auto const answered = response.ok() ? parseVersion(response->body) : std::nullopt;
+                     std::scoped_lock const lock(round->mutex);
+                     round->answers.push_back(Coverage{.instance = member.name,
+                                                       .failureDomain = member.failureDomain,
+                                                       .version = answered});
+                     if (--round->missing > 0)
+                         return;
+                     std::ranges::sort(round->answers, {}, &Coverage::instance);
+                     respond(HttpResponse{.body = formatCoverage(version, round->answers)});
+                 });
     }
 }
 
--- a/Services/almondwingd/ControlApi.h
+++ b/Services/almondwingd/ControlApi.h
@@ -1,5 +1,5 @@
-// The HTTP surface of the daemon: announcements of targets, changes and questions of operators, and what instances
-// fetch from each other.
+// The HTTP surface of the daemon: announcements of targets, changes and questions of operators, and what
+// instances fetch from each other.
 
 #pragma once
 
@@ -33,7 +33,8 @@
     void passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond);
     void handleCoverage(HttpRequest const &request, HttpRespond const &respond);
     void handleAudit(HttpRequest const &request, HttpRespond const &respond);
-    void passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond);
+    void passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers,
+                        HttpRespond const &respond);
     HttpResponse explain(HttpRequest const &request) const;
     std::vector<Endpoint> otherControlInstances() const;
 
--- a/Services/almondwingd/ControlNode.cpp
+++ b/Services/almondwingd/ControlNode.cpp
@@ -37,11 +37,9 @@
 
 } // namespace
 
-ControlNode::ControlNode(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, ControlNodeHooks nodeHooks)
-    : runtime(ioRuntime)
-    , cluster(daemonSettings.cluster)
-    , hooks(std::move(nodeHooks))
-    , queue(ioRuntime)
+ControlNode::ControlNode(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings,
+                         ControlNodeHooks nodeHooks)
+    : runtime(ioRuntime), cluster(daemonSettings.cluster), hooks(std::move(nodeHooks)), queue(ioRuntime)
 {
     for (PeerSettings const &peer : daemonSettings.peers) {
         if (peer.role == ControlRole::Control)
@@ -49,11 +47,12 @@
     }
 }
 
-absl::StatusOr<std::shared_ptr<ControlNode>> ControlNode::open(IoRuntime &runtime, DaemonSettings const &settings,
-                                                               ControlNodeHooks hooks)
+absl::StatusOr<std::shared_ptr<ControlNode>>
+ControlNode::open(IoRuntime &runtime, DaemonSettings const &settings, ControlNodeHooks hooks)
 {
     DiskHooks disk = TRY(openFolderDisk(*settings.dataFolder));
-    auto const storage = TRY(FileStorage::open(std::move(disk), settings.instance, randomNumber, hooks.report));
+    auto const storage =
+        TRY(FileStorage::open(std::move(disk), settings.instance, randomNumber, hooks.report));
     std::shared_ptr<ControlNode> node(new ControlNode(runtime, settings, std::move(hooks)));
     ReplicationSettings replication;
     replication.controlInstances.push_back(settings.instance);
@@ -72,8 +71,8 @@
         .apply = [this](LogEntry const &entry) { this->apply(entry); },
         .restore = [this](Snapshot const &snapshot) { this->restore(snapshot); },
         .takeSnapshot = [this] { return formatConfigurationState(*this->machine.snapshot()); },
-        .resolveProposal
-        = [this](LogIndex index, ProposalOutcome outcome) { this->resolveProposal(index, outcome); },
+        .resolveProposal = [this](LogIndex index,
+                                  ProposalOutcome outcome) { this->resolveProposal(index, outcome); },
         .resolveRead =
             [this](ReadToken token, absl::Status const &status) {
                 auto const waiting = this->waitingReads.extract(token);
@@ -126,8 +125,8 @@
 {
     auto envelope = decodeReplicaEnvelope(this->cluster, body);
     if (!envelope.ok()) {
-        this->hooks.report(Event::InputDropped, fmt::format("/v1/replication: {}",
-                                                            std::string(envelope.status().message())));
+        this->hooks.report(Event::InputDropped,
+                           fmt::format("/v1/replication: {}", std::string(envelope.status().message())));
         return;
     }
     this->runOnQueue([received = *std::move(envelope)](ReplicationCore &replica) {
@@ -140,8 +139,9 @@
     auto const parsed = parseChangeRequest(entry.payload);
     if (auto const *const errors = std::get_if<InputErrors>(&parsed)) {
         // Every replica sees the same bytes, so all of them pass over the entry.
-        this->hooks.report(Event::ConfigurationRefused,
-                           fmt::format("log entry {} is not a change: {}", entry.index, firstErrorOf(*errors)));
+        this->hooks.report(
+            Event::ConfigurationRefused,
+            fmt::format("log entry {} is not a change: {}", entry.index, firstErrorOf(*errors)));
         return;
     }
     ChangeOutcome const outcome = this->machine.apply(entry.index, std::get<ChangeRequest>(parsed));
@@ -194,12 +194,13 @@
     if (outcome == ProposalOutcome::Committed && !applied.empty())
         waiting.mapped()(applied.mapped());
     else
-        waiting.mapped()(absl::UnknownError(
-            "the leader lost its majority or its disk while the change was under way; resend it with the same request "
-            "id to learn the outcome"));
+        waiting.mapped()(absl::UnknownError("the leader lost its majority or its disk while the change was "
+                                            "under way; resend it with the same request "
+                                            "id to learn the outcome"));
 }
 
-void ControlNode::readConfirmed(std::function<void(absl::StatusOr<Cell<ConfigurationState>::Snapshot>)> result)
+void ControlNode::readConfirmed(
+    std::function<void(absl::StatusOr<Cell<ConfigurationState>::Snapshot>)> result)
 {
     this->runOnQueue([this, resolve = std::move(result)](ReplicationCore &replica) {
         auto const token = replica.confirmLeadership(IoRuntime::now());
--- a/Services/almondwingd/ControlNode.h
+++ b/Services/almondwingd/ControlNode.h
@@ -1,5 +1,5 @@
-// The part of a control instance: the replicated log with its storage and transport, and the configuration state
-// machine on top. All work on the log runs on one serial queue, because a sync may block.
+// The part of a control instance: the replicated log with its storage and transport, and the configuration
+// state machine on top. All work on the log runs on one serial queue, because a sync may block.
 
 #pragma once
 
@@ -28,16 +28,16 @@
     EventReporter report;
 };
 
-// The outcome of a change for the operator: an outcome of the state machine, or an error. FailedPrecondition: this
-// replica does not lead, nothing was done. Unavailable: nothing was done. Unknown: the change may yet be accepted; a
-// resend with the same request id tells.
+// The outcome of a change for the operator: an outcome of the state machine, or an error. FailedPrecondition:
+// this replica does not lead, nothing was done. Unavailable: nothing was done. Unknown: the change may yet be
+// accepted; a resend with the same request id tells.
 using ChangeResult = std::function<void(absl::StatusOr<ChangeOutcome>)>;
 
 class ControlNode
 {
 public:
-    static absl::StatusOr<std::shared_ptr<ControlNode>> open(IoRuntime &runtime, DaemonSettings const &settings,
-                                                             ControlNodeHooks hooks);
+    static absl::StatusOr<std::shared_ptr<ControlNode>>
+    open(IoRuntime &runtime, DaemonSettings const &settings, ControlNodeHooks hooks);
 
     void start();
 
--- a/Services/almondwingd/Daemon.cpp
+++ b/Services/almondwingd/Daemon.cpp
@@ -28,11 +28,13 @@
     return generator();
 }
 
-// Higher than that of any earlier process of this instance, as long as its clock does not go back between starts.
+// Higher than that of any earlier process of this instance, as long as its clock does not go back between
+// starts.
 std::uint64_t incarnationNow()
 {
     auto const sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
 InstanceSettings toInstanceSettings(DaemonSettings const &settings, Timestamp now)
@@ -59,9 +61,7 @@
 
 } // namespace
 
-Daemon::Daemon(DaemonSettings daemonSettings)
-    : settings(std::move(daemonSettings))
-    , log(settings.log.level)
+Daemon::Daemon(DaemonSettings daemonSettings) : settings(std::move(daemonSettings)), log(settings.log.level)
 {
 }
 
@@ -75,15 +75,17 @@
     this->packets = TRY(PacketPort::open(this->runtime, this->settings, this->reporter()));
     this->instance = std::make_unique<Instance>(toInstanceSettings(this->settings, IoRuntime::now()),
                                                 this->packets->outbox(), randomNumber);
+    this->packets->attach(*this->instance);
     if (this->settings.dataFolder)
         TRY_STATUS(this->openControlNode());
     this->metrics.addSource([this] { return sampleInstance(*this->instance); });
     this->metrics.addSource([this] { return samplePackets(this->packets->counters()); });
     this->metrics.addSource([this] { return sampleEvents(this->log); });
     if (this->node != nullptr)
-        this->metrics.addSource([this] { return sampleReplication(this->node->status(), this->node->counters()); });
-    this->api
-        = std::make_unique<ControlApi>(this->runtime, this->settings, *this->instance, this->node, this->metrics);
+        this->metrics.addSource(
+            [this] { return sampleReplication(this->node->status(), this->node->counters()); });
+    this->api = std::make_unique<ControlApi>(this->runtime, this->settings, *this->instance, this->node,
+                                             this->metrics);
     this->http = TRY(HttpServer::open(this->runtime, this->settings.listen.http,
                                       [this](HttpRequest const &request, HttpRespond const &respond) {
                                           this->api->handle(request, respond);
@@ -96,8 +98,10 @@
 absl::Status Daemon::openControlNode()
 {
     ControlNodeHooks hooks{
-        .configurationCommitted
-        = [this](Configuration const &configuration) { this->instance->handleConfiguration(configuration); },
+        .configurationCommitted =
+            [this](Configuration const &configuration) {
+                this->instance->handleConfiguration(configuration);
+            },
         .mayBootstrap = [this] { return this->instance->highestConfigurationSeen().version == 0; },
         .report = this->reporter()};
     this->node = TRY(ControlNode::open(this->runtime, this->settings, std::move(hooks)));
@@ -121,7 +125,7 @@
 void Daemon::run()
 {
     this->startInstance();
-    this->packets->start(*this->instance);
+    this->packets->start();
     if (this->node != nullptr)
         this->node->start();
     this->fetcher->start();
@@ -129,10 +133,11 @@
     this->runtime.runEvery(tickInterval, [this] { this->tick(); });
     this->sendBulkParts();
     this->runtime.onStopSignal([this] { this->beginStop(); });
-    this->log.report(Event::ProcessStarted, fmt::format("instance {} in failure domain {}, entry {}, http {}",
-                                                        this->settings.instance, this->settings.failureDomain,
-                                                        this->settings.listen.entry.toString(),
-                                                        this->settings.listen.http.toString()));
+    this->log.report(Event::ProcessStarted,
+                     fmt::format("instance {} in failure domain {}, entry {}, http {}",
+                                 this->settings.instance, this->settings.failureDomain,
+                                 this->settings.listen.entry.toString(),
+                                 this->settings.listen.http.toString()));
     this->runtime.run(this->settings.threads);
     this->log.report(Event::ProcessStopped, this->settings.instance);
 }
--- a/Services/almondwingd/DaemonMetrics.cpp
+++ b/Services/almondwingd/DaemonMetrics.cpp
@@ -40,8 +40,8 @@
     samples.push_back(counter("almondwing_bytes_sent_total", "Bytes sent.", counters.bytesSent, labels));
     samples.push_back(counter("almondwing_sends_dropped_total", "Datagrams that could not be sent.",
                               counters.sendsDropped, labels));
-    samples.push_back(counter("almondwing_input_dropped_total", "Datagrams that were malformed, foreign or not allowed.",
-                              dropped, labels));
+    samples.push_back(counter("almondwing_input_dropped_total",
+                              "Datagrams that were malformed, foreign or not allowed.", dropped, labels));
 }
 
 void addTargets(std::vector<MetricSample> &samples, Blackboard const &blackboard)
@@ -58,14 +58,14 @@
             TargetUsage const counts = usage ? usage->value : TargetUsage{};
             samples.push_back(
                 gauge("almondwing_target_open_flows", "Open flows of a target.", counts.connections, labels));
-            samples.push_back(
-                gauge("almondwing_target_busy_slots", "Requests that run at a target.", counts.busySlots, labels));
+            samples.push_back(gauge("almondwing_target_busy_slots", "Requests that run at a target.",
+                                    counts.busySlots, labels));
             samples.push_back(gauge("almondwing_target_ramp_level", "Ramp level of a target, 4 is full.",
                                     target.record.rampLevel, labels));
-            samples.push_back(counter("almondwing_target_answered_total", "Requests that a target has answered.",
-                                      counts.answered, labels));
-            samples.push_back(
-                counter("almondwing_target_shed_total", "Requests that a target has shed.", counts.shed, labels));
+            samples.push_back(counter("almondwing_target_answered_total",
+                                      "Requests that a target has answered.", counts.answered, labels));
+            samples.push_back(counter("almondwing_target_shed_total", "Requests that a target has shed.",
+                                      counts.shed, labels));
         }
     }
 }
@@ -92,16 +92,20 @@
         counter("almondwing_flows_opened_total", "Flows opened.", flows.opened),
         counter("almondwing_flows_refused_total", "Flows refused.", flows.refused),
         counter("almondwing_flows_adopted_total", "Flows taken over without a record.", flows.adopted),
-        counter("almondwing_flows_searched_total", "Messages of flows searched at other dispatchers.", flows.searched),
-        counter("almondwing_flows_spilled_total", "Flows opened at another target than the table names.", flows.spilled),
+        counter("almondwing_flows_searched_total", "Messages of flows searched at other dispatchers.",
+                flows.searched),
+        counter("almondwing_flows_spilled_total", "Flows opened at another target than the table names.",
+                flows.spilled),
         counter("almondwing_flows_ended_total", endedHelp, flows.closed, {{"reason", "closed"}}),
         counter("almondwing_flows_ended_total", endedHelp, flows.broken, {{"reason", "broken"}}),
         counter("almondwing_flows_ended_total", endedHelp, sweep.silent, {{"reason", "target-silent"}}),
         counter("almondwing_flows_ended_total", endedHelp, sweep.targetLost, {{"reason", "target-lost"}}),
-        counter("almondwing_flows_ended_total", endedHelp, sweep.takenOut, {{"reason", "failure-domain-taken-out"}}),
+        counter("almondwing_flows_ended_total", endedHelp, sweep.takenOut,
+                {{"reason", "failure-domain-taken-out"}}),
         counter("almondwing_flows_ended_total", endedHelp, sweep.idle, {{"reason", "idle"}}),
         counter("almondwing_caller_messages_total", "Messages received from callers.", router.fromCallers),
-        counter("almondwing_forwarded_total", "Messages of callers passed on to another instance.", router.forwarded),
+        counter("almondwing_forwarded_total", "Messages of callers passed on to another instance.",
+                router.forwarded),
         counter("almondwing_unknown_service_total", "Messages for a service that is not configured.",
                 router.unknownService),
         counter("almondwing_refused_without_lease_total", "Messages dropped because the lease was not held.",
@@ -135,15 +139,17 @@
     return samples;
 }
 
-std::vector<MetricSample> sampleReplication(ReplicationStatus const &status, ReplicationCounters const &counters)
+std::vector<MetricSample> sampleReplication(ReplicationStatus const &status,
+                                            ReplicationCounters const &counters)
 {
     return {gauge("almondwing_replication_leader", "1 on the leader of the replicated log.",
                   status.role == ReplicaRole::Leader ? 1 : 0),
             gauge("almondwing_replication_term", "Term of the replicated log.", status.term),
             gauge("almondwing_replication_commit_index", "Last committed entry.", status.commitIndex),
-            counter("almondwing_replication_messages_total", "Messages to other replicas.", counters.messagesSent),
-            counter("almondwing_replication_payload_bytes_total", "Entries and snapshots sent, without encoding.",
-                    counters.payloadBytesSent)};
+            counter("almondwing_replication_messages_total", "Messages to other replicas.",
+                    counters.messagesSent),
+            counter("almondwing_replication_payload_bytes_total",
+                    "Entries and snapshots sent, without encoding.", counters.payloadBytesSent)};
 }
 
 } // namespace almondwing
--- a/Services/almondwingd/DaemonMetrics.h
+++ b/Services/almondwingd/DaemonMetrics.h
@@ -16,6 +16,7 @@
 std::vector<MetricSample> sampleInstance(Instance const &instance);
 std::vector<MetricSample> samplePackets(PacketPortCounters const &counters);
 std::vector<MetricSample> sampleEvents(EventLog const &log);
-std::vector<MetricSample> sampleReplication(ReplicationStatus const &status, ReplicationCounters const &counters);
+std::vector<MetricSample> sampleReplication(ReplicationStatus const &status,
+                                            ReplicationCounters const &counters);
 
 } // namespace almondwing
--- a/Services/almondwingd/HealthPoller.cpp
+++ b/Services/almondwingd/HealthPoller.cpp
@@ -29,8 +29,7 @@
 } // namespace
 
 HealthPoller::HealthPoller(IoRuntime &ioRuntime, Instance &polledInstance)
-    : runtime(ioRuntime)
-    , instance(polledInstance)
+    : runtime(ioRuntime), instance(polledInstance)
 {
 }
 
@@ -60,8 +59,8 @@
     HttpCall const call{.server = check.httpEndpoint, .target = "/load", .timeout = checkTimeout};
     callHttp(this->runtime, call, [this, check](absl::StatusOr<HttpResponse> const &response) {
         bool const hasAnswer = response.ok() && response->isSuccess();
-        HealthReport const report
-            = hasAnswer ? reportWithLoad(response->body) : HealthReport{.answer = HealthAnswer::Healthy};
+        HealthReport const report =
+            hasAnswer ? reportWithLoad(response->body) : HealthReport{.answer = HealthAnswer::Healthy};
         this->instance.handleHealthReport(check.target, report, IoRuntime::now());
     });
 }
--- a/Services/almondwingd/PacketPort.cpp
+++ b/Services/almondwingd/PacketPort.cpp
@@ -3,6 +3,7 @@
 #include "PacketPort.h"
 
 #include <LibCore/Try.h>
+#include <LibCore/Verify.h>
 
 #include <fmt/format.h>
 
@@ -11,17 +12,15 @@
 namespace almondwing {
 
 PacketPort::PacketPort(WireCodec wireCodec, InstanceId instanceId, EventReporter reporter)
-    : codec(wireCodec)
-    , self(instanceId)
-    , report(std::move(reporter))
+    : codec(wireCodec), self(instanceId), report(std::move(reporter))
 {
 }
 
-absl::StatusOr<std::unique_ptr<PacketPort>> PacketPort::open(IoRuntime &runtime, DaemonSettings const &settings,
-                                                             EventReporter report)
+absl::StatusOr<std::unique_ptr<PacketPort>>
+PacketPort::open(IoRuntime &runtime, DaemonSettings const &settings, EventReporter report)
 {
-    std::unique_ptr<PacketPort> port(new PacketPort(WireCodec::forCluster(settings.cluster),
-                                                    InstanceId::fromName(settings.instance), std::move(report)));
+    std::unique_ptr<PacketPort> port(new PacketPort(
+        WireCodec::forCluster(settings.cluster), InstanceId::fromName(settings.instance), std::move(report)));
     port->entry = TRY(UdpSocket::open(runtime, settings.listen.entry));
     port->target = TRY(UdpSocket::open(runtime, settings.listen.target));
     port->peer = TRY(UdpSocket::open(runtime, settings.listen.peer));
@@ -42,10 +41,14 @@
 Outbox PacketPort::outbox()
 {
     return Outbox{
-        .sendToCaller = [this](Endpoint caller,
-                               CallerReply const &reply) { this->encodeAndSend(*this->entry, caller, reply); },
-        .sendToTarget = [this](Endpoint to,
-                               TargetCommand const &command) { this->encodeAndSend(*this->target, to, command); },
+        .sendToCaller =
+            [this](Endpoint caller, CallerReply const &reply) {
+                this->encodeAndSend(*this->entry, caller, reply);
+            },
+        .sendToTarget =
+            [this](Endpoint to, TargetCommand const &command) {
+                this->encodeAndSend(*this->target, to, command);
+            },
         .sendToInstance = [this](InstanceId receiver,
                                  PeerMessage const &message) { this->sendToInstance(receiver, message); },
         .report = this->report};
@@ -70,13 +73,19 @@
                       absl::Status const &reason)
 {
     counter.fetch_add(1, std::memory_order_relaxed);
-    this->report(Event::InputDropped, fmt::format("{} socket, datagram from {}: {}", socket, from.toString(),
-                                                  std::string(reason.message())));
+    this->report(Event::InputDropped,
+                 fmt::format("{} socket, datagram from {}: {}", socket, from.toString(),
+                             std::string(reason.message())));
 }
 
-void PacketPort::start(Instance &receivingInstance)
+void PacketPort::attach(Instance &servedInstance)
 {
-    this->instance = &receivingInstance;
+    this->instance = &servedInstance;
+}
+
+void PacketPort::start()
+{
+    VERIFY(this->instance != nullptr);
     this->entry->receive([this](Endpoint from, std::string_view datagram) {
         auto message = this->codec.decodeCallerMessage(datagram);
         if (message.ok())
--- a/Services/almondwingd/PacketPort.h
+++ b/Services/almondwingd/PacketPort.h
@@ -1,4 +1,5 @@
-// Binds the three UDP sockets and the codec to the instance: datagrams become typed events, hooks become datagrams.
+// Binds the three UDP sockets and the codec to the instance: datagrams become typed events, hooks become
+// datagrams.
 
 #pragma once
 
@@ -34,14 +35,17 @@
 class PacketPort
 {
 public:
-    static absl::StatusOr<std::unique_ptr<PacketPort>> open(IoRuntime &runtime, DaemonSettings const &settings,
-                                                            EventReporter report);
+    static absl::StatusOr<std::unique_ptr<PacketPort>>
+    open(IoRuntime &runtime, DaemonSettings const &settings, EventReporter report);
 
     // The hooks that send through this port. Valid as long as the port is.
     Outbox outbox();
 
+    // Names the instance that the hooks and the sockets serve; before any hook is used.
+    void attach(Instance &servedInstance);
+
     // Starts to hand datagrams to the instance.
-    void start(Instance &instance);
+    void start();
     void close();
 
     PacketPortCounters counters() const;
@@ -52,7 +56,8 @@
     void sendToInstance(InstanceId receiver, PeerMessage const &message);
     template<typename Message>
     void encodeAndSend(UdpSocket &socket, Endpoint to, Message const &message);
-    void drop(std::atomic<std::uint64_t> &counter, char const *socket, Endpoint from, absl::Status const &reason);
+    void drop(std::atomic<std::uint64_t> &counter, char const *socket, Endpoint from,
+              absl::Status const &reason);
 
     WireCodec codec;
     InstanceId self;
@@ -60,7 +65,7 @@
     std::shared_ptr<UdpSocket> entry;
     std::shared_ptr<UdpSocket> target;
     std::shared_ptr<UdpSocket> peer;
-    Instance *instance = nullptr; // Set by start().
+    Instance *instance = nullptr; // Set by attach().
     std::atomic<std::uint64_t> entryDropped = 0;
     std::atomic<std::uint64_t> targetDropped = 0;
     std::atomic<std::uint64_t> peerDropped = 0;
--- a/Services/almondwingd/RecordsJson.cpp
+++ b/Services/almondwingd/RecordsJson.cpp
@@ -60,36 +60,34 @@
 
 MemberRecord readMember(JsonValue const &value)
 {
-    return MemberRecord{
-        .id = InstanceId{readNumber(value, "id")},
-        .name = value.member("name").text(),
-        .failureDomain = value.member("failureDomain").text(),
-        .peerEndpoint = readEndpoint(value, "peerEndpoint"),
-        .httpEndpoint = readEndpoint(value, "httpEndpoint"),
-        .incarnation = readNumber(value, "incarnation"),
-        .state = static_cast<MemberState>(
-            readNumber(value, "state", static_cast<std::uint64_t>(MemberState::Dead)))};
+    return MemberRecord{.id = InstanceId{readNumber(value, "id")},
+                        .name = value.member("name").text(),
+                        .failureDomain = value.member("failureDomain").text(),
+                        .peerEndpoint = readEndpoint(value, "peerEndpoint"),
+                        .httpEndpoint = readEndpoint(value, "httpEndpoint"),
+                        .incarnation = readNumber(value, "incarnation"),
+                        .state = static_cast<MemberState>(
+                            readNumber(value, "state", static_cast<std::uint64_t>(MemberState::Dead)))};
 }
 
 TargetRecord readTarget(JsonValue const &value)
 {
-    return TargetRecord{
-        .id = TargetId{readNumber(value, "id")},
-        .name = value.member("name").text(),
-        .service = ServiceId{readNumber(value, "service")},
-        .failureDomain = value.member("failureDomain").text(),
-        .packetEndpoint = readEndpoint(value, "packetEndpoint"),
-        .httpEndpoint = readEndpoint(value, "httpEndpoint"),
-        .startMark = readNumber(value, "startMark"),
-        .state
-        = static_cast<TargetState>(readNumber(value, "state", static_cast<std::uint64_t>(TargetState::Gone))),
-        .rampLevel = static_cast<std::uint8_t>(
-            readNumber(value, "rampLevel", std::numeric_limits<std::uint8_t>::max())),
-        .connections = static_cast<std::uint32_t>(
-            readNumber(value, "connections", std::numeric_limits<std::uint32_t>::max())),
-        .sequence = {.epoch = readNumber(value, "epoch"),
-                     .counter = readNumber(value, "counter"),
-                     .owner = InstanceId{readNumber(value, "owner")}}};
+    return TargetRecord{.id = TargetId{readNumber(value, "id")},
+                        .name = value.member("name").text(),
+                        .service = ServiceId{readNumber(value, "service")},
+                        .failureDomain = value.member("failureDomain").text(),
+                        .packetEndpoint = readEndpoint(value, "packetEndpoint"),
+                        .httpEndpoint = readEndpoint(value, "httpEndpoint"),
+                        .startMark = readNumber(value, "startMark"),
+                        .state = static_cast<TargetState>(
+                            readNumber(value, "state", static_cast<std::uint64_t>(TargetState::Gone))),
+                        .rampLevel = static_cast<std::uint8_t>(
+                            readNumber(value, "rampLevel", std::numeric_limits<std::uint8_t>::max())),
+                        .connections = static_cast<std::uint32_t>(
+                            readNumber(value, "connections", std::numeric_limits<std::uint32_t>::max())),
+                        .sequence = {.epoch = readNumber(value, "epoch"),
+                                     .counter = readNumber(value, "counter"),
+                                     .owner = InstanceId{readNumber(value, "owner")}}};
 }
 
 absl::Status statusOf(InputErrors const &errors)
@@ -140,7 +138,8 @@
 {
     JsonDocument document(text);
     JsonValue const root = document.root();
-    root.allowKeys({"name", "service", "failureDomain", "packetEndpoint", "httpEndpoint", "startMark", "state"});
+    root.allowKeys(
+        {"name", "service", "failureDomain", "packetEndpoint", "httpEndpoint", "startMark", "state"});
     TargetAnnouncement const announcement{
         .name = root.member("name").text(),
         .service = root.member("service").text(),
--- a/Services/almondwingd/StatusJson.cpp
+++ b/Services/almondwingd/StatusJson.cpp
@@ -16,11 +16,16 @@
 std::string_view roleName(ReplicaRole role)
 {
     switch (role) {
-    case ReplicaRole::Follower: return "follower";
-    case ReplicaRole::Probing: return "probing";
-    case ReplicaRole::Candidate: return "candidate";
-    case ReplicaRole::Leader: return "leader";
-    case ReplicaRole::Failed: return "failed";
+    case ReplicaRole::Follower:
+        return "follower";
+    case ReplicaRole::Probing:
+        return "probing";
+    case ReplicaRole::Candidate:
+        return "candidate";
+    case ReplicaRole::Leader:
+        return "leader";
+    case ReplicaRole::Failed:
+        return "failed";
     }
     return "unknown";
 }
@@ -28,9 +33,12 @@
 std::string_view standingName(ReplicaStanding standing)
 {
     switch (standing) {
-    case ReplicaStanding::Empty: return "empty";
-    case ReplicaStanding::Learner: return "learner";
-    case ReplicaStanding::Voter: return "voter";
+    case ReplicaStanding::Empty:
+        return "empty";
+    case ReplicaStanding::Learner:
+        return "learner";
+    case ReplicaStanding::Voter:
+        return "voter";
     }
     return "unknown";
 }
@@ -38,13 +46,23 @@
 std::string_view phaseName(InstancePhase phase)
 {
     switch (phase) {
-    case InstancePhase::Joining: return "joining";
-    case InstancePhase::Serving: return "serving";
-    case InstancePhase::Leaving: return "leaving";
+    case InstancePhase::Joining:
+        return "joining";
+    case InstancePhase::Serving:
+        return "serving";
+    case InstancePhase::Leaving:
+        return "leaving";
     }
     return "unknown";
 }
 
+void sortByName(nlohmann::json &list)
+{
+    std::sort(list.begin(), list.end(), [](nlohmann::json const &first, nlohmann::json const &second) {
+        return first.at("name") < second.at("name");
+    });
+}
+
 nlohmann::json selfJson(Instance const &instance)
 {
     auto const status = instance.state().ownStatus.read();
@@ -64,7 +82,7 @@
                            {"failureDomain", member.failureDomain},
                            {"state", memberStateName(member.state)},
                            {"http", member.httpEndpoint.toString()}});
-    std::ranges::sort(members, {}, [](nlohmann::json const &member) { return member.at("name").get<std::string>(); });
+    sortByName(members);
     return members;
 }
 
@@ -81,7 +99,10 @@
                         {"slots", target.limits.slots},
                         {"connections", target.limits.connections},
                         {"buckets", buckets},
-                        {"dispatcher", isOwn ? self->self.name : dispatcher ? dispatcher->value.name : ""}};
+                        {"dispatcher",
+                         isOwn            ? self->self.name
+                             : dispatcher ? dispatcher->value.name
+                                          : ""}};
     if (isOwn && usage) {
         json["busySlots"] = usage->value.busySlots;
         json["openFlows"] = usage->value.connections;
@@ -97,12 +118,13 @@
         auto targets = nlohmann::json::array();
         for (std::size_t index = 0; index < routes->targets.size(); ++index) {
             auto const buckets = std::ranges::count(routes->buckets, static_cast<std::uint16_t>(index));
-            targets.push_back(targetJson(instance, routes->targets[index], static_cast<std::size_t>(buckets)));
+            targets.push_back(
+                targetJson(instance, routes->targets[index], static_cast<std::size_t>(buckets)));
         }
         services.push_back(
             {{"name", routes->name}, {"address", routes->address.toString()}, {"targets", targets}});
     }
-    std::ranges::sort(services, {}, [](nlohmann::json const &service) { return service.at("name").get<std::string>(); });
+    sortByName(services);
     return services;
 }
 
@@ -110,9 +132,10 @@
 {
     auto domains = nlohmann::json::array();
     for (FailureDomain const &domain : instance.state().configuration.read()->manifest.failureDomains)
-        domains.push_back({{"name", domain.name},
-                           {"region", domain.region},
-                           {"state", domain.state == FailureDomainState::TakenOut ? "taken-out" : "in-service"}});
+        domains.push_back(
+            {{"name", domain.name},
+             {"region", domain.region},
+             {"state", domain.state == FailureDomainState::TakenOut ? "taken-out" : "in-service"}});
     return domains;
 }
 
@@ -148,14 +171,11 @@
 
 std::string formatExplanation(Explanation const &explanation)
 {
-    nlohmann::json const json{{"service", explanation.service},
-                              {"bucket", explanation.bucket},
-                              {"target", explanation.target},
-                              {"failureDomain", explanation.targetFailureDomain},
-                              {"dispatcher", explanation.dispatcher},
-                              {"configurationVersion", explanation.configurationVersion},
-                              {"claimedBy", explanation.claimedBy},
-                              {"reasons", explanation.reasons}};
+    nlohmann::json const json{
+        {"service", explanation.service},       {"bucket", explanation.bucket},
+        {"target", explanation.target},         {"failureDomain", explanation.targetFailureDomain},
+        {"dispatcher", explanation.dispatcher}, {"configurationVersion", explanation.configurationVersion},
+        {"claimedBy", explanation.claimedBy},   {"reasons", explanation.reasons}};
     return json.dump();
 }
 
@@ -177,14 +197,16 @@
         isEverywhere = isEverywhere && isInForce;
         nlohmann::json json{{"instance", entry.instance},
                             {"failureDomain", entry.failureDomain},
-                            {"state", isInForce       ? "in-force"
+                            {"state",
+                             isInForce           ? "in-force"
                                  : entry.version ? "older"
                                                  : "unconfirmed"}};
         if (entry.version)
             json["version"] = *entry.version;
         instances.push_back(json);
     }
-    return nlohmann::json{{"version", version}, {"inForceEverywhere", isEverywhere}, {"instances", instances}}.dump();
+    return nlohmann::json{{"version", version}, {"inForceEverywhere", isEverywhere}, {"instances", instances}}
+        .dump();
 }
 
 std::string formatVersion(std::uint64_t version)
--- /dev/null
+++ b/Utilities/almondwingctl/ChangeCommand.cpp
@@ -0,0 +1,178 @@
+// Implements the commands that change the configuration.
+
+#include "ChangeCommand.h"
+
+#include "TextTables.h"
+
+#include <LibConfigurationJson/ChangeJson.h>
+#include <LibConfigurationJson/StateJson.h>
+#include <LibFrontEnd/HttpTypes.h>
+#include <LibFrontEnd/IoRuntime.h>
+#include <LibManifest/ManifestJson.h>
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iterator>
+#include <random>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Duration changeTimeout = 20s;
+constexpr int resendLimit = 5;
+constexpr Duration resendDelay = 1s;
+constexpr Duration coverageInterval = 200ms;
+
+void waitFor(Duration delay)
+{
+    IoRuntime runtime;
+    runtime.runAfter(delay, [&] { runtime.stop(); });
+    runtime.run(1);
+}
+
+std::string randomRequestId()
+{
+    std::random_device device;
+    return fmt::format("ctl-{:08x}{:08x}{:08x}", device(), device(), device());
+}
+
+bool mayResend(absl::StatusOr<HttpResponse> const &response)
+{
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
+    return !response.ok() || response->status == statusUnavailable
+        || response->status == statusGatewayTimeout;
+}
+
+// Sends until there is an outcome. All sends carry the same request id, so the change is made once at most.
+absl::StatusOr<HttpResponse> sendWithResends(ClientOptions const &client, std::string const &body)
+{
+    HttpCall const call{
+        .method = HttpMethod::Post, .target = "/v1/changes", .body = body, .timeout = changeTimeout};
+    auto response = callServers(client, call);
+    for (int resend = 0; resend < resendLimit && mayResend(response); ++resend) {
+        waitFor(resendDelay);
+        response = callServers(client, call);
+    }
+    return response;
+}
+
+ExitCode showCoverage(ClientOptions const &client, std::uint64_t version, std::chrono::seconds wait)
+{
+    Timestamp const end = IoRuntime::now() + wait;
+    HttpCall const call{.target = fmt::format("/v1/coverage?version={}", version)};
+    auto response = callServers(client, call);
+    while (IoRuntime::now() < end && (!response.ok() || !isInForceEverywhere(response->body))) {
+        waitFor(coverageInterval);
+        response = callServers(client, call);
+    }
+    if (!response.ok()) {
+        fmt::print(stderr, "almondwingctl: {}\n", std::string(response.status().message()));
+        return ExitCode::NotEverywhere;
+    }
+    fmt::print("{}", client.isJsonOutput ? response->body + "\n" : coverageText(response->body));
+    return isInForceEverywhere(response->body) ? ExitCode::Success : ExitCode::NotEverywhere;
+}
+
+ExitCode showOutcome(ClientOptions const &client, ChangeOptions const &options, std::string const &requestId,
+                     ChangeOutcome const &outcome)
+{
+    if (client.isJsonOutput)
+        fmt::print("{}\n", formatChangeOutcome(outcome));
+    if (auto const *const rejected = std::get_if<ChangeRejected>(&outcome)) {
+        for (std::string const &error : rejected->errors)
+            fmt::print(stderr, "rejected: {}\n", error);
+        return ExitCode::Rejected;
+    }
+    if (auto const *const conflict = std::get_if<ChangeConflict>(&outcome)) {
+        fmt::print(stderr,
+                   "conflict: the current version is {}, made by request {} of operator {}; look at it and "
+                   "apply your "
+                   "change again\n",
+                   conflict->currentVersion, conflict->winningRequestId, conflict->winningOperator);
+        return ExitCode::Conflict;
+    }
+    std::uint64_t const version = std::get<ChangeAccepted>(outcome).version;
+    if (!client.isJsonOutput)
+        fmt::print("accepted: configuration version {} (request {})\n", version, requestId);
+    return options.wait ? showCoverage(client, version, *options.wait) : ExitCode::Success;
+}
+
+ExitCode showFailure(std::string const &requestId, absl::StatusOr<HttpResponse> const &response)
+{
+    if (!response.ok()) {
+        bool const isUnknown = absl::IsDeadlineExceeded(response.status());
+        fmt::print(stderr, "almondwingctl: {}; {}\n", std::string(response.status().message()),
+                   isUnknown ? fmt::format("the outcome is not known, resend with --request-id {}", requestId)
+                             : std::string("nothing was changed"));
+        return isUnknown ? ExitCode::Unknown : ExitCode::Unavailable;
+    }
+    constexpr unsigned statusUnauthorized = 401;
+    constexpr unsigned statusUnavailable = 503;
+    constexpr unsigned statusGatewayTimeout = 504;
+    fmt::print(stderr, "almondwingctl: {}\n", errorText(response->body));
+    switch (response->status) {
+    case statusUnauthorized:
+        return ExitCode::Unauthorized;
+    case statusUnavailable:
+        return ExitCode::Unavailable;
+    case statusGatewayTimeout:
+        fmt::print(stderr, "almondwingctl: resend with --request-id {}\n", requestId);
+        return ExitCode::Unknown;
+    default:
+        return ExitCode::Rejected;
+    }
+}
+
+std::optional<std::uint64_t> currentVersion(ClientOptions const &client)
+{
+    auto const response = callServers(client, HttpCall{.target = "/v1/configuration"});
+    if (!response.ok() || !response->isSuccess())
+        return std::nullopt;
+    auto const parsed = parseConfiguration(response->body);
+    auto const *const configuration = std::get_if<Configuration>(&parsed);
+    return configuration == nullptr ? std::nullopt : std::optional(configuration->version);
+}
+
+} // namespace
+
+ExitCode submitChange(ClientOptions const &client, ChangeOptions const &options,
+                      ConfigurationChange const &change)
+{
+    std::string const requestId = options.requestId.empty() ? randomRequestId() : options.requestId;
+    ChangeRequest const request{.requestId = requestId, .baseVersion = options.baseVersion, .change = change};
+    auto const response = sendWithResends(client, formatChangeRequest(request));
+    if (!response.ok())
+        return showFailure(requestId, response);
+    auto const outcome = parseChangeOutcome(response->body);
+    if (auto const *const decided = std::get_if<ChangeOutcome>(&outcome))
+        return showOutcome(client, options, requestId, *decided);
+    return showFailure(requestId, response);
+}
+
+ExitCode applyManifestFile(ClientOptions const &client, ChangeOptions options, std::string const &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        fmt::print(stderr, "almondwingctl: can't read {}\n", path);
+        return ExitCode::Usage;
+    }
+    std::string const text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    auto const parsed = parseManifest(text);
+    if (auto const *const errors = std::get_if<InputErrors>(&parsed)) {
+        for (InputError const &error : *errors)
+            fmt::print(stderr, "{}: {}\n", path, error.toString());
+        return ExitCode::Rejected;
+    }
+    if (!options.baseVersion)
+        options.baseVersion = currentVersion(client);
+    if (!options.baseVersion) {
+        fmt::print(stderr, "almondwingctl: no instance told the current version; nothing was changed\n");
+        return ExitCode::Unavailable;
+    }
+    return submitChange(client, options, ApplyManifest{.proposal = std::get<ProposedManifest>(parsed)});
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Utilities/almondwingctl/QueryCommand.cpp
@@ -0,0 +1,27 @@
+// Implements the commands that only ask.
+
+#include "QueryCommand.h"
+
+#include "TextTables.h"
+
+#include <fmt/format.h>
+
+namespace almondwing {
+
+ExitCode showAnswer(ClientOptions const &client, std::string const &target,
+                    std::function<std::string(std::string const &json)> const &format)
+{
+    auto const response = callServers(client, HttpCall{.target = target});
+    if (!response.ok()) {
+        fmt::print(stderr, "almondwingctl: {}\n", std::string(response.status().message()));
+        return ExitCode::Unavailable;
+    }
+    if (!response->isSuccess()) {
+        fmt::print(stderr, "almondwingctl: {}\n", errorText(response->body));
+        return ExitCode::Usage;
+    }
+    fmt::print("{}", client.isJsonOutput ? response->body + "\n" : format(response->body));
+    return ExitCode::Success;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Utilities/almondwingctl/TextTables.cpp
@@ -0,0 +1,165 @@
+// Implements the readable forms with nlohmann/json and libfmt.
+
+#include "TextTables.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <ctime>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+using Row = std::vector<std::string>;
+
+std::string cell(nlohmann::json const &object, char const *key)
+{
+    if (!object.contains(key))
+        return "-";
+    nlohmann::json const &value = object.at(key);
+    std::string const text = value.is_string() ? value.get<std::string>() : value.dump();
+    return text.empty() ? "-" : text;
+}
+
+std::string table(std::vector<Row> const &rows)
+{
+    std::vector<std::size_t> widths;
+    for (Row const &row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t column = 0; column < row.size(); ++column)
+            widths[column] = std::max(widths[column], row[column].size());
+    }
+    std::string text;
+    for (Row const &row : rows) {
+        std::string line;
+        for (std::size_t column = 0; column < row.size(); ++column)
+            line += fmt::format("{:<{}}  ", row[column], widths[column]);
+        line.erase(line.find_last_not_of(' ') + 1);
+        text += line + "\n";
+    }
+    return text;
+}
+
+std::string rowsOf(nlohmann::json const &list, Row const &header, std::vector<char const *> const &keys)
+{
+    std::vector<Row> rows{header};
+    for (nlohmann::json const &entry : list) {
+        Row row;
+        for (char const *const key : keys)
+            row.push_back(cell(entry, key));
+        rows.push_back(row);
+    }
+    return table(rows);
+}
+
+nlohmann::json parse(std::string const &text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    return json.is_object() ? json : nlohmann::json::object();
+}
+
+nlohmann::json listOf(nlohmann::json const &object, char const *key)
+{
+    return object.contains(key) && object.at(key).is_array() ? object.at(key) : nlohmann::json::array();
+}
+
+std::string timeText(nlohmann::json const &entry)
+{
+    if (!entry.contains("submittedAt") || !entry.at("submittedAt").is_number())
+        return "-";
+    std::time_t const seconds = entry.at("submittedAt").get<std::time_t>();
+    std::tm parts{};
+    if (gmtime_r(&seconds, &parts) == nullptr)
+        return "-";
+    return fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}Z", parts.tm_year + 1900, parts.tm_mon + 1,
+                       parts.tm_mday, parts.tm_hour, parts.tm_min, parts.tm_sec);
+}
+
+} // namespace
+
+std::string statusText(std::string const &text)
+{
+    auto const json = parse(text);
+    auto const self = json.value("instance", nlohmann::json::object());
+    std::string result =
+        fmt::format("Instance {} in failure domain {}: {}, lease {}, contact with a majority of control "
+                    "instances {}, configuration "
+                    "version {}\n",
+                    cell(self, "name"), cell(self, "failureDomain"), cell(self, "phase"), cell(self, "lease"),
+                    cell(self, "majorityContact"), cell(self, "configurationVersion"));
+    if (json.contains("replication")) {
+        auto const &log = json.at("replication");
+        result +=
+            fmt::format("Replicated log: {}, term {}, leader {}, committed up to entry {}\n",
+                        cell(log, "role"), cell(log, "term"), cell(log, "leader"), cell(log, "commitIndex"));
+    }
+    result += "\n"
+        + rowsOf(listOf(json, "failureDomains"), {"FAILURE DOMAIN", "REGION", "STATE"},
+                 {"name", "region", "state"});
+    result += "\n"
+        + rowsOf(listOf(json, "members"), {"INSTANCE", "FAILURE DOMAIN", "STATE", "HTTP"},
+                 {"name", "failureDomain", "state", "http"});
+    for (auto const &service : listOf(json, "services")) {
+        result += fmt::format("\nService {} at {}\n", cell(service, "name"), cell(service, "address"));
+        result += rowsOf(listOf(service, "targets"),
+                         {"TARGET", "FAILURE DOMAIN", "STATE", "LEVEL", "SLOTS", "CONNECTIONS", "BUCKETS",
+                          "DISPATCHER", "BUSY", "FLOWS"},
+                         {"name", "failureDomain", "state", "rampLevel", "slots", "connections", "buckets",
+                          "dispatcher", "busySlots", "openFlows"});
+    }
+    return result;
+}
+
+std::string explanationText(std::string const &text)
+{
+    auto const json = parse(text);
+    std::string result = fmt::format(
+        "Service {}, bucket {}: target {} in {}, dispatcher {}, configuration version {}\n",
+        cell(json, "service"), cell(json, "bucket"), cell(json, "target"), cell(json, "failureDomain"),
+        cell(json, "dispatcher"), cell(json, "configurationVersion"));
+    for (auto const &reason : listOf(json, "reasons"))
+        result += fmt::format("  - {}\n", reason.get<std::string>());
+    return result;
+}
+
+std::string auditText(std::string const &text)
+{
+    std::vector<Row> rows{
+        {"INDEX", "TIME", "OPERATOR", "REQUEST", "BASE", "VERSION", "KIND", "OUTCOME", "CHANGE"}};
+    for (auto const &entry : listOf(parse(text), "entries")) {
+        auto const outcome = entry.value("outcome", nlohmann::json::object());
+        rows.push_back({cell(entry, "index"), timeText(entry), cell(entry, "operator"),
+                        cell(entry, "requestId"), cell(entry, "baseVersion"), cell(entry, "resultingVersion"),
+                        cell(entry, "kind"), cell(outcome, "outcome"), cell(entry, "description")});
+    }
+    return table(rows);
+}
+
+std::string coverageText(std::string const &text)
+{
+    auto const json = parse(text);
+    return fmt::format("Version {} is {}\n", cell(json, "version"),
+                       isInForceEverywhere(text) ? "in force on every known instance"
+                                                 : "not confirmed on every known instance")
+        + rowsOf(listOf(json, "instances"), {"INSTANCE", "FAILURE DOMAIN", "STATE", "VERSION"},
+                 {"instance", "failureDomain", "state", "version"});
+}
+
+std::string errorText(std::string const &text)
+{
+    auto const json = parse(text);
+    return json.contains("error") && json.at("error").is_string() ? json.at("error").get<std::string>()
+                                                                  : text;
+}
+
+bool isInForceEverywhere(std::string const &text)
+{
+    auto const json = parse(text);
+    return json.contains("inForceEverywhere") && json.at("inForceEverywhere").is_boolean()
+        && json.at("inForceEverywhere").get<bool>();
+}
+
+} // namespace almondwing
