--- a/Tests/StandIns/CallerTest.cpp
+++ b/Tests/StandIns/CallerTest.cpp
@@ -7,6 +7,7 @@
 #include <LibStandIns/CallerSummary.h>
 #include <LibStandIns/FabricModel.h>
 #include <LibStandIns/SharedRandom.h>
+#include <LibStandIns/TargetFlows.h>
 #include <LibStandIns/TargetModel.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -174,8 +175,11 @@
     CPPUNIT_TEST(refusalsAreDefinite);
     CPPUNIT_TEST(wrongBytesFail);
     CPPUNIT_TEST(foreignAnswersFail);
+    CPPUNIT_TEST(pendingRequestsAreCancelled);
     CPPUNIT_TEST(rateIsKept);
     CPPUNIT_TEST(lostFlowsAreReportedAndReplaced);
+    CPPUNIT_TEST(longestGapIsReported);
+    CPPUNIT_TEST(noticeBeforeAcceptanceGivesNoGap);
     CPPUNIT_TEST(wrongFlowPayloadsFail);
     CPPUNIT_TEST(percentilesAreNearestRank);
     CPPUNIT_TEST_SUITE_END();
@@ -290,6 +294,21 @@
         CPPUNIT_ASSERT(!bench.hasPassed());
     }
 
+    // Guards against a cancellation that is never exercised, or that counts as an outcome by itself.
+    void pendingRequestsAreCancelled()
+    {
+        CallerPlan cancelling = plan();
+        cancelling.requests = 1;
+        cancelling.cancelAfter = 50ms;
+        Bench bench(cancelling);
+        bench.start();
+        bench.loop.runFor(60ms);
+        RequestKey const key = std::get<CancelRequest>(bench.sent.at(1)).key;
+        CPPUNIT_ASSERT(!bench.hasPassed());
+        bench.reply(NotRun{.key = key, .reason = Reason::Cancelled, .retryAfter = {}});
+        CPPUNIT_ASSERT(bench.hasPassed());
+    }
+
     // Guards against an open-loop load that slows down with the system and so hides overload.
     void rateIsKept()
     {
@@ -326,6 +345,37 @@
         CPPUNIT_ASSERT(bench.summary().at("flows").at("broken").at("target-lost") == 1);
     }
 
+    // Guards against an interruption of all flows that no figure shows.
+    void longestGapIsReported()
+    {
+        CallerPlan flowing = plan();
+        flowing.flows = 1;
+        Bench bench(flowing);
+        bench.start();
+        FlowKey const key = std::get<OpenFlow>(bench.sent[0]).key;
+        bench.reply(FlowAccepted{.key = key});
+        for (Duration const gap : {Duration(200ms), Duration(3s), Duration(1s)}) {
+            bench.loop.runFor(gap);
+            bench.reply(FlowData{.key = key, .payload = flowPayload(key, 1, flowing.flowBytes)});
+        }
+        CPPUNIT_ASSERT(bench.summary().at("flows").at("longestGapMs") == 3000.0);
+    }
+
+    // Guards against a gap since the start of the clock when a notice overtakes the acceptance of its flow.
+    // Seen in a trial on a link that delays packets: a gap of 2414 s in a run of 4 s.
+    void noticeBeforeAcceptanceGivesNoGap()
+    {
+        CallerPlan flowing = plan();
+        flowing.flows = 1;
+        Bench bench(flowing);
+        bench.start();
+        FlowKey const key = std::get<OpenFlow>(bench.sent[0]).key;
+        bench.loop.runFor(100ms);
+        bench.reply(FlowData{.key = key, .payload = noticePayload(key)});
+        bench.reply(FlowAccepted{.key = key});
+        CPPUNIT_ASSERT(bench.summary().at("flows").at("longestGapMs") == 100.0);
+    }
+
     // Guards against packets of one flow that reach another caller unnoticed.
     void wrongFlowPayloadsFail()
     {
--- a/Tests/StandIns/LibStandIns/CallerFlows.cpp
+++ b/Tests/StandIns/LibStandIns/CallerFlows.cpp
@@ -66,6 +66,7 @@
     FlowKey const key{.service = this->plan.service, .flow = this->hooks.random()};
     CallerFlow flow;
     flow.port = port;
+    flow.lastHeard = this->hooks.now();
     this->board.flows.write(key, flow, 0);
     this->sendOpen(key);
 }
@@ -176,6 +177,7 @@
     this->board.flows.update(message.key, [now, isNotice](std::optional<CallerFlow> flow) {
         if (!flow)
             return flow;
+        flow->longestGap = std::max(flow->longestGap, now - flow->lastHeard);
         flow->lastHeard = now;
         ++(isNotice ? flow->notices : flow->echoes);
         return flow;
