Requests: Test what instances must not claim to know

Cause: a restarted member of a replica group, a paused dispatcher and a former dispatcher can each say "not run" of a request that ran elsewhere, and no focused test guarded against it.

Change: six tests, for each of these cases, for the location of unsure requests, and for the end of tries at a restarted target.

Figures: which of them were seen red, and with which mutation, is not on record.

Conclusion: the property tests no longer stand alone for these cases.

--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(retriesStayWithinTheirShare);
     CPPUNIT_TEST(answersAreWholeOrIncomplete);
     CPPUNIT_TEST(locatingNeedsAReadQuorumOfEachGroup);
+    CPPUNIT_TEST(onlyUnsureRequestsAreLocated);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against urgent work that waits behind other classes, and against overtaking within a class.
@@ -193,6 +194,37 @@
         progress.known.push_back(InstanceId{2});
         CPPUNIT_ASSERT(judgeLocate(progress) == LocateResult::Known);
     }
+
+    // Guards against first runs of requests that another dispatcher may know, and against the latency of
+    // locating those that nobody else can know.
+    void onlyUnsureRequestsAreLocated()
+    {
+        ServiceRoutes routes;
+        for (TargetId const target : {TargetId{1}, TargetId{2}})
+            routes.targets.emplace_back().record.id = target;
+        routes.changedAt.fill(now - settings.bucketSettleTime);
+        std::vector<ClaimUpdate> claims(1);
+        claims[0].target = TargetId{2};
+        RequestRecord record;
+        Timestamp takeoverUntil = now;
+        auto const isLocated = [&](std::uint16_t bucket) {
+            return needsLocating(record, TargetId{1}, bucket, routes, claims, takeoverUntil, settings, now);
+        };
+        CPPUNIT_ASSERT(!isLocated(5));
+        claims[0].buckets = {5};
+        CPPUNIT_ASSERT(isLocated(5) && !isLocated(6));
+        routes.changedAt[6] += 1ms;
+        CPPUNIT_ASSERT(isLocated(6) && !isLocated(7));
+        routes.buckets[7] = 1;
+        CPPUNIT_ASSERT(isLocated(7) && !isLocated(8));
+        takeoverUntil = now + 1ms;
+        CPPUNIT_ASSERT(isLocated(8));
+        takeoverUntil = now;
+        record.attempt = 2;
+        CPPUNIT_ASSERT(isLocated(8));
+        record.idempotency = Idempotency::Idempotent;
+        CPPUNIT_ASSERT(!isLocated(5) && !isLocated(8));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QueuePolicyTest);
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -68,13 +68,14 @@
 
     // Both targets have the same limit; all buckets belong to the first.
     void setView(std::uint32_t slots, TargetState firstState = TargetState::Warm,
-                 InstanceId secondDispatcher = otherDispatcher)
+                 InstanceId secondDispatcher = otherDispatcher, std::uint64_t startMark = 1)
     {
         auto routes = std::make_shared<ServiceRoutes>();
         routes->id = ServiceId{1};
         for (TargetId const target : {firstTarget, secondTarget}) {
             RoutedTarget routed;
             routed.record.id = target;
+            routed.record.startMark = startMark;
             routed.record.packetEndpoint = endpointOf(target);
             routed.record.state = target == firstTarget ? firstState : TargetState::Warm;
             routed.limits = routed.fullLimits = {.slots = slots, .connections = 0};
@@ -176,9 +177,14 @@
     CPPUNIT_TEST(retryAfterShedHasItsOwnTry);
     CPPUNIT_TEST(slotLimitHoldsWhenItShrinks);
     CPPUNIT_TEST(silentTryIsRepeatedAndKeepsItsSlot);
+    CPPUNIT_TEST(restartedTargetEndsItsTries);
     CPPUNIT_TEST(cancelledRequestsEndOnce);
     CPPUNIT_TEST(expiredRequestsGetTrueOutcomes);
     CPPUNIT_TEST(locateReplyIsAPromise);
+    CPPUNIT_TEST(youngMemberDoesNotVouch);
+    CPPUNIT_TEST(pausedDispatcherIsNotCertain);
+    CPPUNIT_TEST(formerRefusalIsNotRepeatedAfterTakeover);
+    CPPUNIT_TEST(differentTablesAreLocated);
     CPPUNIT_TEST(spilledRequestsStayThere);
     CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
     CPPUNIT_TEST(finalOutcomeIsRepeated);
@@ -281,6 +287,30 @@
         CPPUNIT_ASSERT_EQUAL(0U, harness.busySlots());
     }
 
+    // Guards against a try that is repeated at, or believed shed by, a target process that did not get it,
+    // and against a slot given away while a repeat may run at the new process.
+    void restartedTargetEndsItsTries()
+    {
+        Harness harness;
+        harness.send(Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent));
+        harness.replyToRecord(RecordVerdict::Stored);
+        harness.tickFor(1100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, harness.runs().size());
+        harness.setView(2, TargetState::Warm, otherDispatcher, 2);
+        harness.tickFor(20ms);
+        CPPUNIT_ASSERT(harness.unknowns().at(0).reason == Reason::TargetLost);
+        CPPUNIT_ASSERT_EQUAL(1U, harness.busySlots());
+        harness.shed(harness.runs().back());
+        CPPUNIT_ASSERT_EQUAL(0U, harness.busySlots());
+
+        harness.send(Harness::request(2, RequestClass::Urgent, Idempotency::NonIdempotent));
+        harness.replyToRecord(RecordVerdict::Stored);
+        harness.tickFor(1s);
+        harness.shed(harness.runs().back());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
+        CPPUNIT_ASSERT(harness.refusals().empty());
+    }
+
     // Guards against two outcomes for a cancelled request, and against NotRun for one that has started.
     void cancelledRequestsEndOnce()
     {
@@ -344,6 +374,77 @@
         CPPUNIT_ASSERT(harness.runs().empty());
     }
 
+    // Guards against a second run because a restarted member of the group says that it knows nothing.
+    void youngMemberDoesNotVouch()
+    {
+        RequestSettings settings;
+        settings.startedAt = Timestamp{999s};
+        Harness harness(2, settings);
+        RequestKey const key{.service = ServiceId{1}, .caller = 9, .number = 1};
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = key}, harness.now);
+        auto const reply = std::get<RecordReply>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT(reply.verdict == RecordVerdict::Refused && reply.tryId == 0);
+        harness.now += settings.memoryGap;
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = key}, harness.now);
+        CPPUNIT_ASSERT(std::holds_alternative<LocateReply>(harness.toInstance.back().second));
+    }
+
+    // Guards against NotRun, and against a late run, by an instance that was paused or cut off while another
+    // one may have run the request.
+    void pausedDispatcherIsNotCertain()
+    {
+        Harness harness;
+        auto request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.send(request);
+        request.key.number = 2;
+        request.attempt = 2;
+        harness.send(request);
+        harness.now += 5s;
+        for (InstanceId const from : {member, otherDispatcher})
+            harness.controller->handlePeerMessage(
+                from, LocateReply{.key = request.key, .verdict = LocateVerdict::NotKnown}, harness.now);
+        harness.controller->tick(harness.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
+        harness.board.ownStatus.update([](OwnStatus status) {
+            status.lease = LeaseState::Expired;
+            return status;
+        });
+        harness.send(Harness::request(3, RequestClass::Urgent, Idempotency::NonIdempotent));
+        CPPUNIT_ASSERT(harness.unknowns().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT(harness.refusals().empty());
+        harness.sendIdempotent(4);
+        CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT(harness.runs().empty());
+    }
+
+    // Guards against a repeated NotRun although an instance that dispatched in between has run a resend.
+    void formerRefusalIsNotRepeatedAfterTakeover()
+    {
+        Harness harness;
+        auto request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        request.timeLeft = Duration::zero();
+        harness.send(request);
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        harness.now += 10s;
+        harness.controller->handleTakeover(firstTarget, harness.now);
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.unknowns().size());
+    }
+
+    // Guards against two runs of one first send that the network delivered twice, to instances whose bucket
+    // tables differ.
+    void differentTablesAreLocated()
+    {
+        Harness harness;
+        harness.setView(2, TargetState::Warm, self);
+        auto const request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.controller->handleRequest(callerEndpoint, request, secondTarget, ForwardPurpose::Deliver, 0,
+                                          harness.now);
+        CPPUNIT_ASSERT(std::holds_alternative<Locate>(harness.toInstance.back().second));
+    }
+
     // Guards against a spilled request that runs here, too, when it is sent again.
     void spilledRequestsStayThere()
     {
