--- a/Tests/LibRequests/RequestFaultsTest.cpp
+++ b/Tests/LibRequests/RequestFaultsTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 namespace almondwing {
 
 namespace {
@@ -134,9 +136,10 @@
         bool const holds = rc::check("planned stop", [] {
             FakeCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), {}, {3, 3});
             cluster.maxServiceTime = 1500ms;
-            std::vector<RequestKey> accepted;
-            for (int count = 0; count < 6; ++count)
-                accepted.push_back(cluster.send(RequestClass::Urgent, Idempotency::NonIdempotent, 4900ms));
+            std::vector<RequestKey> accepted(6);
+            std::ranges::generate(accepted, [&] {
+                return cluster.send(RequestClass::Urgent, Idempotency::NonIdempotent, 4900ms);
+            });
             cluster.run(120ms);
             auto const stopped =
                 static_cast<std::size_t>(&cluster.dispatcherOf(0) - cluster.instances.data());
