Membership: Test evidence from peers, questions to suspects and quiet joins

Change: add a test for each; simulate in steps of 100 ms, which is the longest allowed distance of ticks, and shorten the runs before faults.

--- a/Tests/LibMembership/FakeCluster.cpp
+++ b/Tests/LibMembership/FakeCluster.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr Duration step = 50ms;
+constexpr Duration step = 100ms;
 
 std::size_t recordBytes(PeerMessage const &message)
 {
--- a/Tests/LibMembership/FakeCluster.h
+++ b/Tests/LibMembership/FakeCluster.h
@@ -66,7 +66,7 @@
     LinkFaults faults;
     bool canFetch = true; // Whether records can be fetched over HTTP.
     Cut isCut = [](std::size_t, std::size_t) { return false; };
-    // Runs after each step of 50 ms.
+    // Runs after each step of 100 ms.
     std::function<void()> inspect = [] {};
     Timestamp now = Timestamp(1000s);
     std::size_t versionsGoneBack = 0;
--- a/Tests/LibMembership/MembershipTest.cpp
+++ b/Tests/LibMembership/MembershipTest.cpp
@@ -31,7 +31,7 @@
         : FakeCluster(nodeCount, domainCount, seed, std::move(options))
     {
         this->startAll();
-        this->run(10s);
+        this->run(5s);
         CPPUNIT_ASSERT(this->isConverged());
     }
 };
@@ -69,6 +69,9 @@
     CPPUNIT_TEST(messagesStaySmall);
     CPPUNIT_TEST(missedUpdateIsFetched);
     CPPUNIT_TEST(fetchNeedsConfirmedDifference);
+    CPPUNIT_TEST(evidenceOfControlInstancesIsPassedOn);
+    CPPUNIT_TEST(suspectedMemberIsAsked);
+    CPPUNIT_TEST(fetchedRecordsStayQuiet);
     CPPUNIT_TEST(callsFromSeveralThreads);
     CPPUNIT_TEST_SUITE_END();
 
@@ -128,7 +131,7 @@
         checkProperty("healthy members are not considered dead", [] {
             RunningCluster cluster(*rc::gen::arbitrary<std::uint64_t>());
             cluster.faults = {.loss = 0.1, .duplication = 0.1, .longestDelay = 50ms};
-            cluster.run(60s);
+            cluster.run(30s);
             RC_ASSERT(cluster.countEvents(Event::MemberDead) == 0U);
         });
     }
@@ -150,7 +153,7 @@
         checkProperty("the lease ends before others take over", [] {
             RunningCluster cluster(*rc::gen::arbitrary<std::uint64_t>());
             auto const node = *rc::gen::inRange<std::size_t>(0, nodeCount);
-            cluster.run(*rc::gen::inRange(0, 40) * 50ms);
+            cluster.run(*rc::gen::inRange(0, 20) * 100ms);
             cluster.isCut = [node](std::size_t from, std::size_t to) {
                 return (from == node) != (to == node);
             };
@@ -357,6 +360,58 @@
         CPPUNIT_ASSERT(noteFetchResult(watch, FetchResult::NewRecords).fetchPause == shortestFetchPause);
     }
 
+    // Guards against an instance that loses the majority although a peer is in contact with it, which would
+    // be common where each instance can probe only few control instances.
+    void evidenceOfControlInstancesIsPassedOn()
+    {
+        RunningCluster cluster(8, {.controlInstances = {"node-0", "node-1", "node-2"}});
+        cluster.isCut = [](std::size_t from, std::size_t to) {
+            return std::min(from, to) < 2 && std::max(from, to) > 2;
+        };
+        cluster.inspect = [&] {
+            for (FakeNode const &node : cluster.nodes)
+                CPPUNIT_ASSERT(node.blackboard->ownStatus.read()->majorityContact == MajorityContact::Recent);
+        };
+        cluster.run(20s);
+    }
+
+    // Guards against a live member that is given up because its refutation has not arrived in time.
+    void suspectedMemberIsAsked()
+    {
+        FakeCluster cluster(30, 1, 9);
+        cluster.startAll();
+        cluster.run(10s);
+        auto suspected = cluster.nodes[20].blackboard->ownStatus.read()->self;
+        suspected.state = MemberState::Suspect;
+        Ping ping;
+        ping.gossip.members = {suspected};
+        // Only the suspected member and the one that has heard of the suspicion reach each other.
+        cluster.isCut = [](std::size_t from, std::size_t to) { return from + to != 30 || from % 10 != 0; };
+        auto const &sender = cluster.nodes[0].self;
+        cluster.nodes[10].controller->handlePeerMessage(sender.id, sender.peerEndpoint, ping, cluster.now);
+        CPPUNIT_ASSERT(cluster.sees(10, 20, MemberState::Suspect));
+        cluster.run(suspicionPeriod + 500ms);
+        CPPUNIT_ASSERT(cluster.sees(10, 20, MemberState::Alive));
+    }
+
+    // Guards against a joining instance that spreads all records again, and against fetched reports of dead
+    // members that are believed without a probe.
+    void fetchedRecordsStayQuiet()
+    {
+        RunningCluster cluster(10);
+        for (std::size_t index = 0; index < 2 * mostFetchedRecordsToSpread; ++index)
+            cluster.writeTarget(0, targetRecord("target-" + std::to_string(index), {1, 1, InstanceId{1}}));
+        cluster.run(40s);
+        cluster.start(5);
+        cluster.run(5s);
+        CPPUNIT_ASSERT(cluster.isConverged());
+        CPPUNIT_ASSERT(cluster.nodes[5].controller->counters().targetRecords < mostFetchedRecordsToSpread);
+        auto dead = cluster.nodes[1].blackboard->ownStatus.read()->self;
+        dead.state = MemberState::Dead;
+        cluster.nodes[0].controller->mergeRecords(std::vector{dead}, {}, cluster.now);
+        CPPUNIT_ASSERT(cluster.sees(0, 1, MemberState::Alive));
+    }
+
     // Guards against data races between the threads of the front end; the sanitizer runs look at it.
     void callsFromSeveralThreads()
     {
