Replication: Report a refused data folder and bound reported replicas

Cause: the daemon would have had to report event 1211 itself, and ids from the network could fill a set.

--- a/Libraries/LibReplication/FileStorage.cpp
+++ b/Libraries/LibReplication/FileStorage.cpp
@@ -79,14 +79,23 @@
                                                                EventReporter const &report)
 {
     std::shared_ptr<FileStorage> const storage(new FileStorage(std::move(disk)));
-    auto const identity = TRY(storage->disk.read(identityName));
+    absl::Status const status = storage->createOrLoad(instance, random, report);
+    if (status.ok())
+        return storage;
+    report(Event::ReplicaStorageRefused, std::string(status.message()));
+    return status;
+}
+
+absl::Status FileStorage::createOrLoad(std::string const &instance, RandomSource const &random,
+                                       EventReporter const &report)
+{
+    auto const identity = TRY(this->disk.read(identityName));
     if (!identity) {
-        TRY_STATUS(storage->create(instance, random));
+        TRY_STATUS(this->create(instance, random));
         report(Event::ReplicaCreated,
-               fmt::format("replica {:016x} of {}", storage->state.self.id.value, instance));
+               fmt::format("replica {:016x} of {}", this->state.self.id.value, instance));
     }
-    TRY_STATUS(storage->load(instance, report));
-    return storage;
+    return this->load(instance, report);
 }
 
 // The identity is written last, so a folder without one has acknowledged nothing.
--- a/Libraries/LibReplication/FileStorage.h
+++ b/Libraries/LibReplication/FileStorage.h
@@ -38,6 +38,8 @@
 private:
     explicit FileStorage(DiskHooks newDisk) : disk(std::move(newDisk)) { }
 
+    absl::Status createOrLoad(std::string const &instance, RandomSource const &random,
+                              EventReporter const &report);
     absl::Status create(std::string const &instance, RandomSource const &random);
     absl::Status load(std::string const &instance, EventReporter const &report);
     absl::Status loadLog(std::string const &file, EventReporter const &report);
--- a/Libraries/LibReplication/ReplicationCore.cpp
+++ b/Libraries/LibReplication/ReplicationCore.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t largestReportedReplicas = 64; // Ids come from the network.
+
 // A bootstrap writes the first entry before the history, so entries without a history were never announced.
 ReplicationLog logFrom(StoredState &stored)
 {
@@ -63,12 +65,10 @@
     if (!envelope.to.id.isNone() && envelope.to.id != this->self.id)
         return;
     if (!this->isEmpty() && !envelope.history.isNone() && envelope.history != this->hardState.history) {
-        if (this->reportedReplicas.insert(envelope.from.id).second)
-            this->hooks.report(
-                Event::ForeignHistoryRefused,
-                fmt::format("replica {:016x} of {} belongs to history {:016x}, this one to {:016x}",
-                            envelope.from.id.value, envelope.from.instance, envelope.history.value,
-                            this->hardState.history.value));
+        this->reportOnce(envelope.from.id, Event::ForeignHistoryRefused,
+                         fmt::format("replica {:016x} of {} belongs to history {:016x}, this one to {:016x}",
+                                     envelope.from.id.value, envelope.from.instance, envelope.history.value,
+                                     this->hardState.history.value));
         return;
     }
     std::visit([&](auto const &message) { this->handle(envelope, message, now); }, envelope.message);
@@ -150,6 +150,12 @@
         .from = this->self, .to = to, .history = this->hardState.history, .message = std::move(message)});
 }
 
+void ReplicationCore::reportOnce(ReplicaId id, Event event, std::string const &text)
+{
+    if (this->reportedReplicas.size() < largestReportedReplicas && this->reportedReplicas.insert(id).second)
+        this->hooks.report(event, text);
+}
+
 bool ReplicationCore::store(absl::Status const &status)
 {
     if (!status.ok())
--- a/Libraries/LibReplication/ReplicationCore.h
+++ b/Libraries/LibReplication/ReplicationCore.h
@@ -103,6 +103,7 @@
     bool isControlInstance(std::string const &instance) const;
     std::size_t majority() const { return this->log.voters().size() / 2 + 1; }
     void send(Replica const &to, ReplicaMessage message);
+    void reportOnce(ReplicaId id, Event event, std::string const &text);
     bool store(absl::Status const &status);
     bool saveHardState(HardState const &next);
     void fail(absl::Status const &status);
--- a/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
+++ b/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::size_t largestVoterCount = 7;
-constexpr std::size_t largestReportedReplicas = 64;
 constexpr LogIndex bootstrapIndex = 1;
 constexpr Term bootstrapTerm = 1;
 constexpr int joinIntervalsToForget = 5; // A replaced disk asks to join once an interval.
@@ -247,12 +246,10 @@
     bool const isOldAlive =
         progress == nullptr || now - progress->lastReply < this->settings.shortestElectionTimeout;
     if (isOldAlive) {
-        if (this->reportedReplicas.size() < largestReportedReplicas
-            && this->reportedReplicas.insert(learner.id).second)
-            this->hooks.report(
-                Event::DuplicateInstance,
-                fmt::format("two replicas run under the name {}; the new one, {:016x}, is not admitted",
-                            learner.instance, learner.id.value));
+        this->reportOnce(
+            learner.id, Event::DuplicateInstance,
+            fmt::format("two replicas run under the name {}; the new one, {:016x}, is not admitted",
+                        learner.instance, learner.id.value));
         return false;
     }
     this->followers.erase(old->id);
--- a/Tests/LibReplication/FileStorageTest.cpp
+++ b/Tests/LibReplication/FileStorageTest.cpp
@@ -232,9 +232,12 @@
     {
         FakeDisk disk;
         storageWithHistory(disk);
+        std::vector<Event> events;
         auto const other = FileStorage::open(
-            disk.hooks(), "banska-1", [] { return std::uint64_t{1}; }, [](Event, std::string const &) {});
+            disk.hooks(), "banska-1", [] { return std::uint64_t{1}; },
+            [&](Event event, std::string const &) { events.push_back(event); });
         CPPUNIT_ASSERT(absl::IsFailedPrecondition(other.status()));
+        CPPUNIT_ASSERT(events == std::vector{Event::ReplicaStorageRefused});
     }
 
     // Guards against writes after a failed one: it is unknown what of it reached the disk.
