--- a/Libraries/LibBlackboard/ShardedTable.h
+++ b/Libraries/LibBlackboard/ShardedTable.h
@@ -88,8 +88,7 @@
     {
         for (;;) {
             std::optional<Versioned<Value>> const current = this->read(key);
-            std::optional<Value> const currentValue =
-                current ? std::optional<Value>(current->value) : std::nullopt;
+            std::optional<Value> currentValue = current ? std::optional<Value>(current->value) : std::nullopt;
             std::optional<Value> next = decide(currentValue);
             if (!next)
                 return currentValue;
--- a/Libraries/LibState/RoutingView.cpp
+++ b/Libraries/LibState/RoutingView.cpp
@@ -9,7 +9,7 @@
 bool ServiceRoutes::hasMovedWithin(std::uint16_t bucket, Duration window, Timestamp now) const
 {
     return std::ranges::any_of(this->recentMoves, [&](BucketMove const &move) {
-        return move.bucket == bucket && now - move.at <= window;
+        return move.bucket == bucket && now - move.at < window;
     });
 }
 
--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -202,7 +202,8 @@
         ServiceRoutes routes;
         for (TargetId const target : {TargetId{1}, TargetId{2}})
             routes.targets.emplace_back().record.id = target;
-        routes.changedAt.fill(now - settings.bucketSettleTime);
+        for (std::uint16_t bucket = 5; bucket <= 8; ++bucket)
+            routes.recentMoves.push_back({.bucket = bucket, .at = now - settings.bucketSettleTime});
         std::vector<ClaimUpdate> claims(1);
         claims[0].target = TargetId{2};
         RequestRecord record;
@@ -213,7 +214,7 @@
         CPPUNIT_ASSERT(!isLocated(5));
         claims[0].buckets = {5};
         CPPUNIT_ASSERT(isLocated(5) && !isLocated(6));
-        routes.changedAt[6] += 1ms;
+        routes.recentMoves[1].at += 1ms;
         CPPUNIT_ASSERT(isLocated(6) && !isLocated(7));
         routes.buckets[7] = 1;
         CPPUNIT_ASSERT(isLocated(7) && !isLocated(8));
