--- a/Libraries/LibRequests/ReplicaRecords.h
+++ b/Libraries/LibRequests/ReplicaRecords.h
@@ -22,7 +22,7 @@
 
 namespace almondwing {
 
-// What a promise was asked for ends with.
+// The answer to an instance that asks for a promise.
 enum class PromiseOutcome : std::uint8_t {
     Given,
     Known, // The request is recorded here, or promised to another instance.
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -187,6 +187,7 @@
     CPPUNIT_TEST(differentTablesAreLocated);
     CPPUNIT_TEST(spilledRequestsStayThere);
     CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
+    CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(finalOutcomeIsRepeated);
     CPPUNIT_TEST(droppedAnswersAreUnknown);
     CPPUNIT_TEST(gapsAreAskedFor);
@@ -495,6 +496,28 @@
         CPPUNIT_ASSERT(harness.refusals().empty() || harness.refusals().at(0).reason == Reason::NoTarget);
     }
 
+    // Guards against a former dispatcher that starts a request which outlasts the time for which its
+    // successor counts the slots as busy.
+    void formerDispatcherStartsNoLongWork()
+    {
+        Harness harness(1);
+        harness.sendIdempotent(1);
+        auto request = Harness::request(2, RequestClass::Urgent, Idempotency::Idempotent);
+        request.timeLeft = 10s;
+        harness.send(request);
+        harness.board.routingView.update([](RoutingView view) {
+            auto routes = *view.services.at(ServiceId{1});
+            routes.targets[0].dispatcher = otherDispatcher;
+            view.services[ServiceId{1}] = std::make_shared<ServiceRoutes const>(routes);
+            return view;
+        });
+        harness.answer(harness.runs().at(0));
+        harness.tickFor(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.runs().size());
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        CPPUNIT_ASSERT(std::holds_alternative<Forwarded>(harness.toInstance.back().second));
+    }
+
     // Guards against a second run, or another outcome, for the resend of a request that has ended.
     void finalOutcomeIsRepeated()
     {
