--- a/Tests/LibInstance/InstanceCluster.cpp
+++ b/Tests/LibInstance/InstanceCluster.cpp
@@ -13,7 +13,7 @@
 constexpr Duration step = 25ms;
 constexpr Duration announcementInterval = 2s;
 constexpr Duration serviceTime = 50ms;
-constexpr TargetLimits fullLimits{.slots = 2, .connections = 64};
+constexpr TargetLimits fullLimits{.slots = 2, .connections = 320};
 constexpr Endpoint testCaller{.address = 0x7f000001, .port = 9};
 constexpr char const *serviceName = "cab-link";
 
