Bench: Measure the cost of packet decisions

The performance target of the design page compares a packet decision with one UDP send plus receive on loopback. The new program almondwing-bench measures both in one run, as processor time of one thread, so that a shared machine disturbs the ratio less than wall-clock time would.

--- /dev/null
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -0,0 +1,15 @@
+// The experiments behind docs/measurements.md. Each gives its figures as a report; the same seed gives the
+// same events, though not the same times.
+
+#pragma once
+
+#include "Report.h"
+
+#include <cstdint>
+
+namespace almondwing {
+
+// The cost of the decision about a packet, against one UDP send plus receive on loopback.
+Report runPacketExperiment(std::uint64_t seed);
+
+} // namespace almondwing
--- /dev/null
+++ b/Utilities/almondwing-bench/Measuring.cpp
@@ -0,0 +1,49 @@
+// Implements processor time and statistics.
+
+#include "Measuring.h"
+
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+#include <ctime>
+
+namespace almondwing {
+
+std::chrono::nanoseconds threadTime()
+{
+    timespec time{};
+    VERIFY(clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time) == 0);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+Spread spreadOf(std::vector<double> values)
+{
+    VERIFY(!values.empty());
+    std::ranges::sort(values);
+    return Spread{.median = values[values.size() / 2], .lowest = values.front(), .highest = values.back()};
+}
+
+Slope slopeOf(std::span<Point const> points)
+{
+    VERIFY(points.size() >= 2);
+    double meanX = 0;
+    double meanY = 0;
+    for (Point const point : points) {
+        meanX += point.x / static_cast<double>(points.size());
+        meanY += point.y / static_cast<double>(points.size());
+    }
+    double covariance = 0;
+    double variance = 0;
+    for (Point const point : points) {
+        covariance += (point.x - meanX) * (point.y - meanY);
+        variance += (point.x - meanX) * (point.x - meanX);
+    }
+    std::vector<double> steps;
+    for (std::size_t index = 1; index < points.size(); ++index)
+        steps.push_back((points[index].y - points[index - 1].y) / (points[index].x - points[index - 1].x));
+    auto const [lowest, highest] = std::ranges::minmax(steps);
+    double const slope = covariance / variance;
+    return Slope{.slope = slope, .intercept = meanY - slope * meanX, .lowest = lowest, .highest = highest};
+}
+
+} // namespace almondwing
