Bench: Measure the heap bytes of blackboard entries

The control cost of an instance is bounded by 64 MB, so the bytes of each kind of entry decide how many fit. The growth of the heap is taken at four or more sizes and printed as a slope with its range.

--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -12,4 +12,7 @@
 // The cost of the decision about a packet, against one UDP send plus receive on loopback.
 Report runPacketExperiment(std::uint64_t seed);
 
+// The heap bytes of each entry of the blackboard.
+Report runMemoryExperiment(std::uint64_t seed);
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/Main.cpp
+++ b/Utilities/almondwing-bench/Main.cpp
@@ -25,6 +25,7 @@
 {
     return {
         Experiment{"packets", "Cost of the decision about a packet", runPacketExperiment},
+        Experiment{"memory", "Heap bytes of the entries of the blackboard", runMemoryExperiment},
     };
 }
 
--- /dev/null
+++ b/Utilities/almondwing-bench/MemoryExperiment.cpp
@@ -0,0 +1,170 @@
+// Measures the heap bytes of the entries of an instance's blackboard.
+
+#include "Experiments.h"
+#include "Measuring.h"
+
+#include <LibRouting/RoutingController.h>
+#include <LibState/Blackboard.h>
+
+#include <fmt/format.h>
+
+#include <malloc.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::size_t claimedBuckets = bucketCount / 15; // All buckets of one of 15 targets.
+constexpr std::size_t targetsOfService = 4; // About 4,500 targets of 1,100 services.
+constexpr std::size_t requestPayloadBytes = 200;
+
+double heapBytes()
+{
+    auto const info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+using Random = std::mt19937_64;
+
+struct Measured
+{
+    std::string name;
+    std::vector<std::size_t> sizes;
+    std::function<void(Blackboard &, Random &, std::size_t count)> fill;
+};
+
+FlowKey randomFlow(Random &random)
+{
+    return FlowKey{.service = ServiceId::fromName("cab-link"), .flow = random()};
+}
+
+void fillFlows(Blackboard &board, Random &random, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index)
+        board.flows.write(randomFlow(random), FlowRecord{.target = TargetId{random()}}, 0);
+}
+
+void fillRedirects(Blackboard &board, Random &random, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index)
+        board.redirects.write(randomFlow(random), FlowRedirect{.target = TargetId{random()}}, 0);
+}
+
+void fillClaims(Blackboard &board, Random &random, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        TargetId const target{random()};
+        ClaimUpdate claim{.target = target};
+        claim.buckets.assign(claimedBuckets, 0);
+        for (std::size_t bucket = 0; bucket < claimedBuckets; ++bucket)
+            claim.buckets[bucket] = static_cast<std::uint16_t>(bucket);
+        board.claims.write(target, std::move(claim), 0);
+    }
+}
+
+void fillRequests(Blackboard &board, Random &random, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        RequestKey const key{
+            .service = ServiceId::fromName("manifest-desk"), .caller = random(), .number = index};
+        RequestRecord record{.target = TargetId{random()}, .phase = RequestPhase::Running};
+        record.payload = std::make_shared<std::string const>(requestPayloadBytes, 'x');
+        record.group = {InstanceId{1}, InstanceId{2}, InstanceId{3}};
+        record.storedBy = {InstanceId{1}, InstanceId{2}};
+        board.requests.write(key, std::move(record), 0);
+    }
+}
+
+TargetRecord targetOf(std::size_t service, std::size_t index)
+{
+    std::string const name = fmt::format("service-{}-target-{}", service, index);
+    return TargetRecord{.id = TargetId::fromName(name),
+                        .name = name,
+                        .service = ServiceId::fromName(fmt::format("service-{}", service)),
+                        .failureDomain = "zvolen",
+                        .startMark = 1,
+                        .state = TargetState::Warm,
+                        .rampLevel = 4,
+                        .sequence = {.epoch = 1}};
+}
+
+// Only the view: the configuration and the target records are given up after its build.
+void fillServices(Blackboard &board, Random &, std::size_t count)
+{
+    Configuration configuration{.version = 1};
+    configuration.manifest.failureDomains = {FailureDomain{.name = "zvolen", .region = "sk"}};
+    configuration.manifest.pools = {TargetPool{.name = "cabs", .limits = {.slots = 2, .connections = 2000}}};
+    std::vector<TargetRecord> targets;
+    for (std::size_t service = 0; service < count; ++service) {
+        configuration.manifest.services.push_back(
+            Service{.name = fmt::format("service-{}", service), .pool = "cabs"});
+        for (std::size_t index = 0; index < targetsOfService; ++index)
+            targets.push_back(targetOf(service, index));
+    }
+    std::vector<MemberRecord> members;
+    for (std::string const name : {"instance-0", "instance-1", "instance-2"})
+        members.push_back(
+            MemberRecord{.id = InstanceId::fromName(name), .name = name, .failureDomain = "zvolen"});
+    board.routingView.update([&](RoutingView const &current) {
+        return buildRoutingView(current, configuration, members, targets, Timestamp{1000s});
+    });
+}
+
+std::vector<Measured> measuredEntries()
+{
+    return {
+        Measured{"open flow", {10'000, 20'000, 40'000, 80'000, 160'000}, fillFlows},
+        Measured{"redirect", {10'000, 20'000, 40'000, 80'000}, fillRedirects},
+        Measured{fmt::format("claim of {} buckets", claimedBuckets), {500, 1'000, 2'000, 4'000}, fillClaims},
+        Measured{fmt::format("service table with {} targets", targetsOfService),
+                 {100, 200, 400, 800},
+                 fillServices},
+        Measured{fmt::format("running request record, {} bytes of payload", requestPayloadBytes),
+                 {5'000, 10'000, 20'000, 40'000},
+                 fillRequests},
+    };
+}
+
+double growthOf(Measured const &entry, std::size_t count, std::uint64_t seed)
+{
+    Random random(seed);
+    auto const board = std::make_unique<Blackboard>();
+    double const before = heapBytes();
+    entry.fill(*board, random, count);
+    return heapBytes() - before;
+}
+
+} // namespace
+
+Report runMemoryExperiment(std::uint64_t seed)
+{
+    ReportTable table{.title = "Growth of the heap (mallinfo2) over the number of entries",
+                      .columns = {"entry", "sizes", "bytes for each", "range between neighbouring sizes",
+                                  "bytes at the largest size"}};
+    for (Measured const &entry : measuredEntries()) {
+        std::vector<Point> points;
+        std::string sizes;
+        for (std::size_t const size : entry.sizes) {
+            points.push_back(Point{.x = static_cast<double>(size), .y = growthOf(entry, size, seed)});
+            sizes += fmt::format("{}{}", sizes.empty() ? "" : ", ", size);
+        }
+        Slope const slope = slopeOf(points);
+        table.rows.push_back({entry.name, sizes, fmt::format("{:.0f}", slope.slope),
+                              fmt::format("{:.0f} to {:.0f}", slope.lowest, slope.highest),
+                              fmt::format("{:.0f}", points.back().y)});
+    }
+    return Report{.experiment = "memory",
+                  .seed = seed,
+                  .tables = {table},
+                  .notes = {"Bytes as the allocator counts them, with its overhead and the hash tables' "
+                            "arrays, whose growth in steps widens the ranges. The service table is the "
+                            "routing view alone, without the target records on the blackboard."}};
+}
+
+} // namespace almondwing
