Bench: Measure idle membership over the cluster size

Control bytes and processor time of an idle instance have targets of 2 KB a second and 3% of a core. In-process membership controllers on a lossless link are measured at 6, 20, 60 and 200 instances, with the datagrams encoded and decoded as on a network.

The balance experiment is part of this commit but has not completed a run yet.

--- /dev/null
+++ b/Utilities/almondwing-bench/BalanceExperiment.cpp
@@ -0,0 +1,266 @@
+// Measures broken flows, imbalance and control bytes during planned changes of a cluster.
+
+#include "CallerPopulation.h"
+#include "Experiments.h"
+
+#include <LibCore/Verify.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+constexpr std::size_t targetCount = 15;
+constexpr std::size_t scaledTargetCount = 22;
+constexpr std::size_t instancesPerDomain = 2;
+constexpr std::size_t longFlows = 15'000;
+// Short flows supply the new work that targets ramp up with.
+constexpr std::size_t shortFlowsPerSecond = 1'000;
+constexpr Duration rampLimit = 600s;
+constexpr Duration drainLimit = 600s;
+constexpr Duration restartLimit = 150s;
+constexpr Duration quietTime = 30s;
+constexpr double controlTarget = 2048; // Bytes a second of one instance.
+constexpr double imbalanceTarget = 1.25;
+
+std::vector<std::string> domains()
+{
+    return {"zvolen", "banska", "brezno"};
+}
+
+struct ControlWindow
+{
+    std::string phase;
+    double seconds = 0;
+    double meanRate = 0; // Bytes a second, over all instances.
+    double highestRate = 0; // Of the instance that sent most.
+    std::uint64_t peakSecond = 0;
+};
+
+// Runs `phase` and records the control bytes that each instance sends meanwhile.
+ControlWindow watchControl(CallerPopulation &callers, std::string const &name,
+                           std::function<void()> const &phase)
+{
+    InstanceCluster &cluster = *callers.cluster;
+    for (ControlTraffic &traffic : cluster.controlTraffic)
+        traffic = {};
+    Timestamp const start = cluster.time();
+    phase();
+    ControlWindow window{.phase = name};
+    window.seconds = std::chrono::duration<double>(cluster.time() - start).count();
+    for (ControlTraffic const &traffic : cluster.controlTraffic) {
+        double const rate = static_cast<double>(traffic.bytes) / window.seconds;
+        window.meanRate += rate / static_cast<double>(cluster.instanceCount());
+        window.highestRate = std::max(window.highestRate, rate);
+        window.peakSecond = std::max(window.peakSecond, traffic.peakSecond);
+    }
+    return window;
+}
+
+void runUntil(CallerPopulation &callers, Duration limit, std::function<bool()> const &isDone)
+{
+    for (Timestamp const end = callers.cluster->time() + limit; callers.cluster->time() < end && !isDone();)
+        callers.run(500ms, shortFlowsPerSecond);
+}
+
+void runUntilWarm(CallerPopulation &callers)
+{
+    runUntil(callers, rampLimit, [&] { return callers.areAllWarm(); });
+    VERIFY(callers.areAllWarm());
+}
+
+// 15 warm targets with the long flows open.
+void prepare(CallerPopulation &callers)
+{
+    callers.run(5s, 0);
+    for (std::size_t index = 0; index < targetCount; ++index)
+        callers.addTarget(fmt::format("old-{}", index), domains()[index % domains().size()]);
+    callers.run(5s, 0);
+    runUntilWarm(callers);
+    for (std::size_t opened = 0; opened < longFlows; opened += 1'000) {
+        callers.openFlows(1'000, FlowLife::Long);
+        callers.run(250ms, 0);
+    }
+    // Until the short flows have ended.
+    callers.run(20s, 0);
+}
+
+void waitForDrain(CallerPopulation &callers)
+{
+    runUntil(callers, drainLimit, [&] {
+        return std::ranges::all_of(callers.cluster->echoTargets(), [](auto const &entry) {
+            bool const isLeaving = entry.second.announcement.state == AnnouncedState::Leaving;
+            return !isLeaving || entry.second.flows.empty();
+        });
+    });
+}
+
+// One failure domain after the other: its new targets come in, and when they are warm, its old ones drain.
+void replaceTargets(CallerPopulation &callers)
+{
+    for (std::size_t domain = 0; domain < domains().size(); ++domain) {
+        for (std::size_t index = domain; index < targetCount; index += domains().size())
+            callers.addTarget(fmt::format("new-{}", index), domains()[domain]);
+        callers.run(5s, shortFlowsPerSecond);
+        runUntilWarm(callers);
+        for (std::size_t index = domain; index < targetCount; index += domains().size()) {
+            callers.leaveTarget(fmt::format("old-{}", index));
+            callers.run(2s, shortFlowsPerSecond);
+        }
+    }
+    waitForDrain(callers);
+}
+
+void scaleTargets(CallerPopulation &callers)
+{
+    for (std::size_t index = targetCount; index < scaledTargetCount; ++index)
+        callers.addTarget(fmt::format("added-{}", index), domains()[index % domains().size()]);
+    callers.run(5s, shortFlowsPerSecond);
+    runUntilWarm(callers);
+}
+
+void restartInstances(CallerPopulation &callers)
+{
+    InstanceCluster &cluster = *callers.cluster;
+    for (std::size_t index = 0; index < cluster.instanceCount(); ++index) {
+        cluster.beginStop(index);
+        runUntil(callers, restartLimit, [&] { return cluster.isStopped(index); });
+        VERIFY(cluster.isStopped(index));
+        cluster.removeInstance(index);
+        callers.run(2s, shortFlowsPerSecond);
+        cluster.startInstance(index);
+        callers.run(10s, shortFlowsPerSecond);
+    }
+}
+
+// Largest over mean of the flows at the given targets.
+double imbalanceOf(FlowsByTarget const &flows, std::vector<std::string> const &targets)
+{
+    double largest = 0;
+    double total = 0;
+    for (std::string const &target : targets) {
+        auto const found = flows.find(target);
+        double const count = found == flows.end() ? 0 : static_cast<double>(found->second);
+        largest = std::max(largest, count);
+        total += count;
+    }
+    return total == 0 ? 0 : largest * static_cast<double>(targets.size()) / total;
+}
+
+std::vector<std::string> warmTargets(CallerPopulation const &callers)
+{
+    std::vector<std::string> warm;
+    for (std::string const &name : callers.liveTargets()) {
+        if (callers.cluster->isWarm(name))
+            warm.push_back(name);
+    }
+    return warm;
+}
+
+std::string brokenText(BrokenFlows const &broken)
+{
+    return fmt::format("{} long, {} short", broken.longFlows, broken.shortFlows);
+}
+
+struct Change
+{
+    std::string name;
+    std::function<void(CallerPopulation &)> apply;
+};
+
+struct BalanceTables
+{
+    ReportTable flows;
+    ReportTable imbalance;
+    ReportTable control;
+};
+
+std::string met(bool isMet)
+{
+    return isMet ? "yes" : "no";
+}
+
+void addControl(BalanceTables &tables, ControlWindow const &window)
+{
+    tables.control.rows.push_back({window.phase, fmt::format("{:.0f}", window.seconds),
+                                   fmt::format("{:.0f}", window.meanRate),
+                                   fmt::format("{:.0f}", window.highestRate),
+                                   fmt::format("{}", window.peakSecond),
+                                   met(window.highestRate <= controlTarget)});
+}
+
+void measureChange(Change const &change, std::uint64_t seed, BalanceTables &tables)
+{
+    CallerPopulation callers(seed, domains(), instancesPerDomain);
+    prepare(callers);
+    auto const idle = watchControl(callers, fmt::format("{}: idle before, long flows open", change.name),
+                                   [&] { callers.run(quietTime, 0); });
+    auto const steady = watchControl(callers, fmt::format("{}: new short flows before", change.name),
+                                     [&] { callers.run(quietTime, shortFlowsPerSecond); });
+    callers.resetCounts();
+    auto const during = watchControl(callers, fmt::format("{}: change", change.name),
+                                     [&] { change.apply(callers); });
+    callers.opened.clear();
+    callers.openedBaseline.clear();
+    auto const after = watchControl(callers, fmt::format("{}: new short flows after", change.name),
+                                    [&] { callers.run(quietTime, shortFlowsPerSecond); });
+    std::size_t const packets = callers.packets;
+    std::size_t const unanswered = callers.countUnanswered();
+    for (ControlWindow const &window : {idle, steady, during, after})
+        addControl(tables, window);
+    tables.flows.rows.push_back({change.name, fmt::format("{}", packets), brokenText(callers.broken),
+                                 brokenText(callers.brokenBaseline), fmt::format("{}", unanswered),
+                                 fmt::format("{}", callers.cluster->doubleOpens),
+                                 fmt::format("{}", callers.refusals),
+                                 fmt::format("{}", callers.cluster->recordFetches)});
+    auto const warm = warmTargets(callers);
+    double const all = imbalanceOf(callers.allFlows(), warm);
+    double const opened = imbalanceOf(callers.opened, warm);
+    tables.imbalance.rows.push_back(
+        {change.name, fmt::format("{} of {}", warm.size(), callers.liveTargets().size()),
+         fmt::format("{:.3f}", all), fmt::format("{:.3f}", opened), met(opened <= imbalanceTarget),
+         fmt::format("{:.3f}", imbalanceOf(callers.allBaselineFlows(), callers.liveTargets())),
+         fmt::format("{:.3f}", imbalanceOf(callers.openedBaseline, callers.liveTargets()))});
+}
+
+} // namespace
+
+Report runBalanceExperiment(std::uint64_t seed)
+{
+    BalanceTables tables{
+        .flows = {.title = "Broken flows during the change and 30 s after it",
+                  .columns = {"change", "packets", "broken", "broken, plain rendezvous",
+                              "long flows unanswered at the end", "flows opened twice", "refused opens",
+                              "record fetches since the start"}},
+        .imbalance = {.title = "Imbalance (largest over mean of the flows at a warm target)",
+                      .columns = {"change", "warm targets", "all flows at the end", "opened after the change",
+                                  "target (1.25) met by new flows", "all flows, plain rendezvous",
+                                  "opened after, plain rendezvous"}},
+        .control = {.title = "Control bytes sent by an instance (peer datagrams but Forwarded, as encoded)",
+                    .columns = {"phase", "seconds", "mean B/s", "B/s of the highest instance",
+                                "highest single second, B", "target (2,048 B/s) met"}}};
+    std::vector<Change> const changes{{"(a) rolling replacement", replaceTargets},
+                                      {"(b) scaling from 15 to 22", scaleTargets},
+                                      {"(c) restart of each instance", restartInstances}};
+    for (Change const &change : changes)
+        measureChange(change, seed, tables);
+    return Report{
+        .experiment = "balance",
+        .seed = seed,
+        .tables = {tables.flows, tables.imbalance, tables.control},
+        .notes = {fmt::format(
+            "6 instances in 3 failure domains, 15 targets, {} long flows and {} short flows of 1 s a second; "
+            "each flow sends a packet to a random instance every 4 s on average. Simulated time, link "
+            "without loss and delay. The baseline takes a target out when it begins to drain; a flow of it "
+            "counts as broken each time that a packet goes to another target than the one before. Record "
+            "fetches go over HTTP and are not part of the control bytes.",
+            longFlows, shortFlowsPerSecond)}};
+}
+
+} // namespace almondwing
--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -15,4 +15,10 @@
 // The heap bytes of each entry of the blackboard.
 Report runMemoryExperiment(std::uint64_t seed);
 
+// Broken flows, imbalance and control bytes during planned changes, beside plain rendezvous hashing.
+Report runBalanceExperiment(std::uint64_t seed);
+
+// Control bytes and processor time of idle membership controllers, over the size of the cluster.
+Report runMembershipExperiment(std::uint64_t seed);
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/Main.cpp
+++ b/Utilities/almondwing-bench/Main.cpp
@@ -26,6 +26,8 @@
     return {
         Experiment{"packets", "Cost of the decision about a packet", runPacketExperiment},
         Experiment{"memory", "Heap bytes of the entries of the blackboard", runMemoryExperiment},
+        Experiment{"balance", "Planned changes, beside plain rendezvous hashing", runBalanceExperiment},
+        Experiment{"membership", "Cost of idle membership over the size", runMembershipExperiment},
     };
 }
 
