Bench: Measure the periodic work beside open flows

The profile of the balance experiment showed that HandoverController::handOver walks all flows at nearly every tick of 25 ms. The changes of the balance experiment run on one thread each.

--- a/Utilities/almondwing-bench/BalanceExperiment.cpp
+++ b/Utilities/almondwing-bench/BalanceExperiment.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <future>
 #include <string>
 #include <vector>
 
@@ -174,11 +175,14 @@
     std::function<void(CallerPopulation &)> apply;
 };
 
-struct BalanceTables
+using Row = std::vector<std::string>;
+
+// What one change adds to the tables of the report.
+struct ChangeRows
 {
-    ReportTable flows;
-    ReportTable imbalance;
-    ReportTable control;
+    Row flows;
+    Row imbalance;
+    std::vector<Row> control;
 };
 
 std::string met(bool isMet)
@@ -186,16 +190,17 @@
     return isMet ? "yes" : "no";
 }
 
-void addControl(BalanceTables &tables, ControlWindow const &window)
+Row controlRow(ControlWindow const &window)
 {
-    tables.control.rows.push_back({window.phase, fmt::format("{:.0f}", window.seconds),
-                                   fmt::format("{:.0f}", window.meanRate),
-                                   fmt::format("{:.0f}", window.highestRate),
-                                   fmt::format("{}", window.peakSecond),
-                                   met(window.highestRate <= controlTarget)});
+    return {window.phase,
+            fmt::format("{:.0f}", window.seconds),
+            fmt::format("{:.0f}", window.meanRate),
+            fmt::format("{:.0f}", window.highestRate),
+            fmt::format("{}", window.peakSecond),
+            met(window.highestRate <= controlTarget)};
 }
 
-void measureChange(Change const &change, std::uint64_t seed, BalanceTables &tables)
+ChangeRows measureChange(Change const &change, std::uint64_t seed)
 {
     CallerPopulation callers(seed, domains(), instancesPerDomain);
     prepare(callers);
@@ -204,56 +209,72 @@
     auto const steady = watchControl(callers, fmt::format("{}: new short flows before", change.name),
                                      [&] { callers.run(quietTime, shortFlowsPerSecond); });
     callers.resetCounts();
-    auto const during = watchControl(callers, fmt::format("{}: change", change.name),
-                                     [&] { change.apply(callers); });
+    auto const during =
+        watchControl(callers, fmt::format("{}: change", change.name), [&] { change.apply(callers); });
     callers.opened.clear();
     callers.openedBaseline.clear();
     auto const after = watchControl(callers, fmt::format("{}: new short flows after", change.name),
                                     [&] { callers.run(quietTime, shortFlowsPerSecond); });
     std::size_t const packets = callers.packets;
     std::size_t const unanswered = callers.countUnanswered();
+    ChangeRows rows;
     for (ControlWindow const &window : {idle, steady, during, after})
-        addControl(tables, window);
-    tables.flows.rows.push_back({change.name, fmt::format("{}", packets), brokenText(callers.broken),
-                                 brokenText(callers.brokenBaseline), fmt::format("{}", unanswered),
-                                 fmt::format("{}", callers.cluster->doubleOpens),
-                                 fmt::format("{}", callers.refusals),
-                                 fmt::format("{}", callers.cluster->recordFetches)});
+        rows.control.push_back(controlRow(window));
+    rows.flows = {change.name,
+                  fmt::format("{}", packets),
+                  brokenText(callers.broken),
+                  brokenText(callers.brokenBaseline),
+                  fmt::format("{}", unanswered),
+                  fmt::format("{}", callers.cluster->doubleOpens),
+                  fmt::format("{}", callers.refusals),
+                  fmt::format("{}", callers.cluster->recordFetches)};
     auto const warm = warmTargets(callers);
     double const all = imbalanceOf(callers.allFlows(), warm);
     double const opened = imbalanceOf(callers.opened, warm);
-    tables.imbalance.rows.push_back(
-        {change.name, fmt::format("{} of {}", warm.size(), callers.liveTargets().size()),
-         fmt::format("{:.3f}", all), fmt::format("{:.3f}", opened), met(opened <= imbalanceTarget),
-         fmt::format("{:.3f}", imbalanceOf(callers.allBaselineFlows(), callers.liveTargets())),
-         fmt::format("{:.3f}", imbalanceOf(callers.openedBaseline, callers.liveTargets()))});
+    rows.imbalance = {change.name,
+                      fmt::format("{} of {}", warm.size(), callers.liveTargets().size()),
+                      fmt::format("{:.3f}", all),
+                      fmt::format("{:.3f}", opened),
+                      met(opened <= imbalanceTarget),
+                      fmt::format("{:.3f}", imbalanceOf(callers.allBaselineFlows(), callers.liveTargets())),
+                      fmt::format("{:.3f}", imbalanceOf(callers.openedBaseline, callers.liveTargets()))};
+    return rows;
 }
 
 } // namespace
 
 Report runBalanceExperiment(std::uint64_t seed)
 {
-    BalanceTables tables{
-        .flows = {.title = "Broken flows during the change and 30 s after it",
-                  .columns = {"change", "packets", "broken", "broken, plain rendezvous",
-                              "long flows unanswered at the end", "flows opened twice", "refused opens",
-                              "record fetches since the start"}},
-        .imbalance = {.title = "Imbalance (largest over mean of the flows at a warm target)",
-                      .columns = {"change", "warm targets", "all flows at the end", "opened after the change",
-                                  "target (1.25) met by new flows", "all flows, plain rendezvous",
-                                  "opened after, plain rendezvous"}},
-        .control = {.title = "Control bytes sent by an instance (peer datagrams but Forwarded, as encoded)",
-                    .columns = {"phase", "seconds", "mean B/s", "B/s of the highest instance",
-                                "highest single second, B", "target (2,048 B/s) met"}}};
+    ReportTable flows{.title = "Broken flows during the change and 30 s after it",
+                      .columns = {"change", "packets", "broken", "broken, plain rendezvous",
+                                  "long flows unanswered at the end", "flows opened twice", "refused opens",
+                                  "record fetches since the start"}};
+    ReportTable imbalance{.title = "Imbalance (largest over mean of the flows at a warm target)",
+                          .columns = {"change", "warm targets", "all flows at the end",
+                                      "opened after the change", "target (1.25) met by new flows",
+                                      "all flows, plain rendezvous", "opened after, plain rendezvous"}};
+    ReportTable control{.title =
+                            "Control bytes sent by an instance (peer datagrams but Forwarded, as encoded)",
+                        .columns = {"phase", "seconds", "mean B/s", "B/s of the highest instance",
+                                    "highest single second, B", "target (2,048 B/s) met"}};
     std::vector<Change> const changes{{"(a) rolling replacement", replaceTargets},
                                       {"(b) scaling from 15 to 22", scaleTargets},
                                       {"(c) restart of each instance", restartInstances}};
+    // Each change has a cluster of its own, so the order of the threads does not matter.
+    std::vector<std::future<ChangeRows>> results;
     for (Change const &change : changes)
-        measureChange(change, seed, tables);
+        results.push_back(
+            std::async(std::launch::async, [change, seed] { return measureChange(change, seed); }));
+    for (auto &result : results) {
+        ChangeRows const rows = result.get();
+        flows.rows.push_back(rows.flows);
+        imbalance.rows.push_back(rows.imbalance);
+        control.rows.insert(control.rows.end(), rows.control.begin(), rows.control.end());
+    }
     return Report{
         .experiment = "balance",
         .seed = seed,
-        .tables = {tables.flows, tables.imbalance, tables.control},
+        .tables = {flows, imbalance, control},
         .notes = {fmt::format(
             "6 instances in 3 failure domains, 15 targets, {} long flows and {} short flows of 1 s a second; "
             "each flow sends a packet to a random instance every 4 s on average. Simulated time, link "
--- a/Utilities/almondwing-bench/InstanceCluster.cpp
+++ b/Utilities/almondwing-bench/InstanceCluster.cpp
@@ -35,23 +35,24 @@
     this->configuration.version = 1;
     manifest.deployment = "sk-central";
     manifest.pools = {TargetPool{.name = "cabs", .limits = {.slots = 2, .connections = 2000}}};
-    manifest.services = {Service{
-        .name = "cab-link", .address = Endpoint{.address = 0x7f000001, .port = 1}, .pool = "cabs"}};
+    manifest.services = {
+        Service{.name = "cab-link", .address = Endpoint{.address = 0x7f000001, .port = 1}, .pool = "cabs"}};
     for (std::string const &domain : domains) {
         manifest.failureDomains.push_back(FailureDomain{.name = domain, .region = "sk"});
         this->domainOfInstance.insert(this->domainOfInstance.end(), instancesPerDomain, domain);
     }
     std::size_t const count = this->domainOfInstance.size();
     this->instances.resize(count);
-    this->incarnations.resize(count);
     this->controlTraffic.resize(count);
     for (std::size_t index = 0; index < count; ++index)
-        this->indices.emplace(this->memberOf(index).id, index);
+        this->members.push_back(this->firstRecordOf(index));
+    for (std::size_t index = 0; index < count; ++index)
+        this->indices.emplace(this->members[index].id, index);
     for (std::size_t index = 0; index < count; ++index)
         this->startInstance(index);
 }
 
-MemberRecord InstanceCluster::memberOf(std::size_t index) const
+MemberRecord InstanceCluster::firstRecordOf(std::size_t index) const
 {
     std::string const name = fmt::format("instance-{}", index);
     auto const port = static_cast<std::uint16_t>(1000 + index);
@@ -59,8 +60,7 @@
                         .name = name,
                         .failureDomain = this->domainOfInstance[index],
                         .peerEndpoint = Endpoint{.address = 0x7f000001, .port = port},
-                        .httpEndpoint = Endpoint{.address = 0x7f000001, .port = port},
-                        .incarnation = this->incarnations[index]};
+                        .httpEndpoint = Endpoint{.address = 0x7f000001, .port = port}};
 }
 
 Outbox InstanceCluster::outboxOf(std::size_t index)
@@ -79,17 +79,17 @@
 
 void InstanceCluster::startInstance(std::size_t index)
 {
-    this->incarnations[index] += 100;
+    this->members[index].incarnation += 100;
     this->instances[index] =
         std::make_unique<Instance>(InstanceSettings{.requests = {.startedAt = this->now}},
                                    this->outboxOf(index), [this] { return this->random(); });
     std::vector<MemberRecord> seeds;
     for (std::size_t seed = 0; seed < this->instances.size(); ++seed) {
         if (seed != index)
-            seeds.push_back(this->memberOf(seed));
+            seeds.push_back(this->members[seed]);
     }
     this->instances[index]->handleConfiguration(this->configuration);
-    this->instances[index]->start(this->memberOf(index), seeds, this->now);
+    this->instances[index]->start(this->members[index], seeds, this->now);
 }
 
 void InstanceCluster::beginStop(std::size_t index)
@@ -106,7 +106,7 @@
 {
     if (!std::holds_alternative<Forwarded>(message)) {
         auto const datagram =
-            this->codec.encode(PeerDatagram{.from = this->memberOf(from).id, .message = message});
+            this->codec.encode(PeerDatagram{.from = this->members[from].id, .message = message});
         VERIFY(datagram.ok());
         this->controlTraffic[from].bytes += datagram->size();
         this->controlTraffic[from].bytesInSecond += datagram->size();
@@ -119,13 +119,13 @@
 void InstanceCluster::addTarget(std::string const &name, std::string const &domain)
 {
     EchoTarget target;
-    target.announcement = TargetAnnouncement{
-        .name = name,
-        .service = "cab-link",
-        .failureDomain = domain,
-        .packetEndpoint = Endpoint{.address = 0x7f000001, .port = this->nextPort},
-        .httpEndpoint = Endpoint{.address = 0x7f000001, .port = this->nextPort},
-        .startMark = this->random() | 1};
+    target.announcement =
+        TargetAnnouncement{.name = name,
+                           .service = "cab-link",
+                           .failureDomain = domain,
+                           .packetEndpoint = Endpoint{.address = 0x7f000001, .port = this->nextPort},
+                           .httpEndpoint = Endpoint{.address = 0x7f000001, .port = this->nextPort},
+                           .startMark = this->random() | 1};
     ++this->nextPort;
     this->targetNames.emplace(target.announcement.packetEndpoint, name);
     this->targets.emplace(name, std::move(target));
@@ -167,8 +167,7 @@
         });
     };
     if (auto const *const open = std::get_if<OpenFlow>(&command)) {
-        auto const [entry, isNew] =
-            this->flowTargets.try_emplace(open->key.flow, target.announcement.name);
+        auto const [entry, isNew] = this->flowTargets.try_emplace(open->key.flow, target.announcement.name);
         this->doubleOpens += !isNew && entry->second != target.announcement.name ? 1 : 0;
         target.flows.insert(open->key.flow);
         answer(FlowAccepted{.key = open->key});
@@ -187,7 +186,7 @@
 {
     if (this->instances[to] == nullptr)
         return;
-    MemberRecord const sender = this->memberOf(from);
+    MemberRecord const &sender = this->members[from];
     this->instances[to]->handlePeerMessage(sender.id, sender.peerEndpoint, message, this->now);
 }
 
--- a/Utilities/almondwing-bench/InstanceCluster.h
+++ b/Utilities/almondwing-bench/InstanceCluster.h
@@ -76,7 +76,7 @@
 
 private:
     Outbox outboxOf(std::size_t index);
-    MemberRecord memberOf(std::size_t index) const;
+    MemberRecord firstRecordOf(std::size_t index) const;
     void sendToInstance(std::size_t from, InstanceId to, PeerMessage const &message);
     void handleAtTarget(std::size_t sender, Endpoint endpoint, TargetCommand const &command);
     void deliverToInstance(std::size_t from, std::size_t to, PeerMessage const &message);
@@ -90,7 +90,7 @@
     WireCodec codec = WireCodec::forCluster("bench");
     Configuration configuration;
     std::vector<std::string> domainOfInstance;
-    std::vector<std::uint64_t> incarnations;
+    std::vector<MemberRecord> members; // By instance, with the present incarnation.
     std::vector<std::unique_ptr<Instance>> instances; // Null while an instance is down.
     std::unordered_map<InstanceId, std::size_t> indices;
     std::map<std::string, EchoTarget> targets;
--- a/Utilities/almondwing-bench/MembershipExperiment.cpp
+++ b/Utilities/almondwing-bench/MembershipExperiment.cpp
@@ -119,13 +119,12 @@
     void startNode(std::size_t index, MembershipSettings const &settings)
     {
         Node &node = this->nodes[index];
-        Outbox const outbox{.sendToCaller = [](Endpoint, CallerReply const &) {},
-                            .sendToTarget = [](Endpoint, TargetCommand const &) {},
-                            .sendToInstance =
-                                [this, index](InstanceId to, PeerMessage const &message) {
-                                    this->send(index, to, message);
-                                },
-                            .report = [](Event, std::string const &) {}};
+        Outbox const outbox{
+            .sendToCaller = [](Endpoint, CallerReply const &) {},
+            .sendToTarget = [](Endpoint, TargetCommand const &) {},
+            .sendToInstance = [this, index](InstanceId to,
+                                            PeerMessage const &message) { this->send(index, to, message); },
+            .report = [](Event, std::string const &) {}};
         node.controller = std::make_unique<MembershipController>(*node.blackboard, settings, outbox,
                                                                  [this] { return this->random(); });
         // All know each other and all targets from the beginning, so that the cluster is quiet soon.
@@ -175,8 +174,8 @@
         std::visit(
             [&](auto const &message) {
                 if constexpr (requires { message.gossip; })
-                    node.controller->handlePeerMessage(
-                        datagram->from, this->nodes[from].self.peerEndpoint, message, this->now);
+                    node.controller->handlePeerMessage(datagram->from, this->nodes[from].self.peerEndpoint,
+                                                       message, this->now);
             },
             datagram->message);
     }
@@ -228,8 +227,8 @@
         result.highestBytes = std::max(result.highestBytes, rate);
         if (index < controlInstances)
             result.controlInstanceBytes += rate / static_cast<double>(controlInstances);
-        result.meanCore += std::chrono::duration<double>(node.busy).count() / seconds
-            / static_cast<double>(size);
+        result.meanCore +=
+            std::chrono::duration<double>(node.busy).count() / seconds / static_cast<double>(size);
     }
     result.fetches = cluster.fetches;
     return result;
@@ -248,12 +247,11 @@
 
 Report runMembershipExperiment(std::uint64_t seed)
 {
-    ReportTable sizes{.title = fmt::format("Idle cluster, {} simulated seconds after it has become quiet",
-                                           std::chrono::duration_cast<std::chrono::seconds>(measuredTime)
-                                               .count()),
-                      .columns = {"instances", "quiet before", "mean B/s", "highest B/s",
-                                  "mean B/s of control instances", "share of a core, %",
-                                  "record fetches", "targets (2,048 B/s; 3%) met"}};
+    ReportTable sizes{
+        .title = fmt::format("Idle cluster, {} simulated seconds after it has become quiet",
+                             std::chrono::duration_cast<std::chrono::seconds>(measuredTime).count()),
+        .columns = {"instances", "quiet before", "mean B/s", "highest B/s", "mean B/s of control instances",
+                    "share of a core, %", "record fetches", "targets (2,048 B/s; 3%) met"}};
     std::vector<Point> bytes;
     std::vector<Point> highest;
     std::vector<Point> cores;
@@ -264,12 +262,11 @@
         highest.push_back(Point{.x = x, .y = result.highestBytes});
         cores.push_back(Point{.x = x, .y = result.meanCore});
         bool const isMet = result.highestBytes <= bytesTarget && result.meanCore <= coreTarget;
-        sizes.rows.push_back({fmt::format("{}", size), result.isQuiet ? "yes" : "no",
-                              fmt::format("{:.0f}", result.meanBytes),
-                              fmt::format("{:.0f}", result.highestBytes),
-                              fmt::format("{:.0f}", result.controlInstanceBytes),
-                              fmt::format("{:.3f}", 100 * result.meanCore),
-                              fmt::format("{}", result.fetches), isMet ? "yes" : "no"});
+        sizes.rows.push_back(
+            {fmt::format("{}", size), result.isQuiet ? "yes" : "no", fmt::format("{:.0f}", result.meanBytes),
+             fmt::format("{:.0f}", result.highestBytes), fmt::format("{:.0f}", result.controlInstanceBytes),
+             fmt::format("{:.3f}", 100 * result.meanCore), fmt::format("{}", result.fetches),
+             isMet ? "yes" : "no"});
     }
     ReportTable const slopes{.title = "Growth for each further instance",
                              .columns = {"figure", "least-squares slope", "range between neighbouring sizes",
--- a/Utilities/almondwing-bench/PacketExperiment.cpp
+++ b/Utilities/almondwing-bench/PacketExperiment.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t payloadBytes = 100;
 // A decision may take this share of a UDP send plus receive.
 constexpr double decisionTarget = 0.1;
+constexpr double coreTarget = 0.03;
 constexpr Endpoint caller{.address = 0x7f000001, .port = 9};
 
 // Two connected UDP sockets on loopback.
@@ -317,6 +318,23 @@
             ratio.median <= decisionTarget ? "yes" : "no"};
 }
 
+// The periodic work of an instance with all its flows open and nothing to do for them.
+ReportTable measureTicks(MeasuredInstance &measured)
+{
+    constexpr Duration tickInterval = 25ms;
+    constexpr std::size_t ticks = 200;
+    double const total = static_cast<double>(ticks) * timeOf(ticks, [&](std::size_t) {
+                             measured.now += tickInterval;
+                             measured.instance.tick(measured.now);
+                         });
+    double const share = total / (static_cast<double>(ticks) * 25e6);
+    return ReportTable{
+        .title = "Periodic work of the idle instance with these flows (target: 3% of a core)",
+        .columns = {"ticks of 25 ms", "microseconds a tick", "share of a core, %", "target met"},
+        .rows = {{fmt::format("{}", ticks), fmt::format("{:.0f}", total / static_cast<double>(ticks) / 1000),
+                  fmt::format("{:.1f}", 100 * share), share <= coreTarget ? "yes" : "no"}}};
+}
+
 } // namespace
 
 Report runPacketExperiment(std::uint64_t seed)
@@ -344,7 +362,7 @@
         table.rows.push_back(decisionRow(decision, pair));
     return Report{.experiment = "packets",
                   .seed = seed,
-                  .tables = {table},
+                  .tables = {table, measureTicks(measured)},
                   .notes = {"One thread. Hooks only count, the time argument stands still. Copies that the "
                             "decision makes of the message are included; building the message and the codec "
                             "are not."}};
