--- a/Utilities/almondwing-bench/BalanceExperiment.cpp
+++ b/Utilities/almondwing-bench/BalanceExperiment.cpp
@@ -262,6 +262,7 @@
                                       {"(c) restart of each instance", restartInstances}};
     // Each change has a cluster of its own, so the order of the threads does not matter.
     std::vector<std::future<ChangeRows>> results;
+    results.reserve(changes.size());
     for (Change const &change : changes)
         results.push_back(
             std::async(std::launch::async, [change, seed] { return measureChange(change, seed); }));
--- a/Utilities/almondwing-bench/CallerPopulation.cpp
+++ b/Utilities/almondwing-bench/CallerPopulation.cpp
@@ -18,11 +18,10 @@
 
 } // namespace
 
-CallerPopulation::CallerPopulation(std::uint64_t seed, std::vector<std::string> domains,
+CallerPopulation::CallerPopulation(std::uint64_t seed, std::vector<std::string> const &domains,
                                    std::size_t instancesPerDomain)
-    : cluster(
-        std::make_unique<InstanceCluster>(seed, std::move(domains), instancesPerDomain,
-                                          [this](CallerReply const &reply) { this->handleReply(reply); })),
+    : cluster(std::make_unique<InstanceCluster>(
+        seed, domains, instancesPerDomain, [this](CallerReply const &reply) { this->handleReply(reply); })),
       random(seed + 1)
 {
 }
--- a/Utilities/almondwing-bench/CallerPopulation.h
+++ b/Utilities/almondwing-bench/CallerPopulation.h
@@ -31,7 +31,8 @@
 class CallerPopulation
 {
 public:
-    CallerPopulation(std::uint64_t seed, std::vector<std::string> domains, std::size_t instancesPerDomain);
+    CallerPopulation(std::uint64_t seed, std::vector<std::string> const &domains,
+                     std::size_t instancesPerDomain);
 
     // The baseline knows the new target at once; the cluster through its announcements.
     void addTarget(std::string const &name, std::string const &domain);
--- a/Utilities/almondwing-bench/InstanceCluster.cpp
+++ b/Utilities/almondwing-bench/InstanceCluster.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-InstanceCluster::InstanceCluster(std::uint64_t seed, std::vector<std::string> domains,
+InstanceCluster::InstanceCluster(std::uint64_t seed, std::vector<std::string> const &domains,
                                  std::size_t instancesPerDomain, ReplyHook replyHook)
     : random(seed), onReply(std::move(replyHook))
 {
--- a/Utilities/almondwing-bench/InstanceCluster.h
+++ b/Utilities/almondwing-bench/InstanceCluster.h
@@ -45,8 +45,8 @@
 public:
     using ReplyHook = std::function<void(CallerReply const &)>;
 
-    InstanceCluster(std::uint64_t seed, std::vector<std::string> domains, std::size_t instancesPerDomain,
-                    ReplyHook replyHook);
+    InstanceCluster(std::uint64_t seed, std::vector<std::string> const &domains,
+                    std::size_t instancesPerDomain, ReplyHook replyHook);
     InstanceCluster(InstanceCluster const &) = delete; // The hooks refer to this object.
     InstanceCluster &operator=(InstanceCluster const &) = delete;
 
--- a/Utilities/almondwing-bench/MembershipExperiment.cpp
+++ b/Utilities/almondwing-bench/MembershipExperiment.cpp
@@ -255,7 +255,7 @@
     std::vector<Point> bytes;
     std::vector<Point> highest;
     std::vector<Point> cores;
-    for (std::size_t const size : {6, 20, 60, 200}) {
+    for (std::size_t const size : {6U, 20U, 60U, 200U}) {
         SizeResult const result = measureSize(size, seed);
         auto const x = static_cast<double>(size);
         bytes.push_back(Point{.x = x, .y = result.meanBytes});
