--- a/Utilities/almondwing-bench/BalanceExperiment.cpp
+++ b/Utilities/almondwing-bench/BalanceExperiment.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <future>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
     double meanRate = 0; // Bytes a second, over all instances.
     double highestRate = 0; // Of the instance that sent most.
     std::uint64_t peakSecond = 0;
+    std::map<std::string, double> meanRates = {}; // By kind of message.
 };
 
 // Runs `phase` and records the control bytes that each instance sends meanwhile.
@@ -60,6 +62,9 @@
         window.meanRate += rate / static_cast<double>(cluster.instanceCount());
         window.highestRate = std::max(window.highestRate, rate);
         window.peakSecond = std::max(window.peakSecond, traffic.peakSecond);
+        for (auto const &[kind, bytes] : traffic.bytesByKind)
+            window.meanRates[kind] +=
+                static_cast<double>(bytes) / window.seconds / static_cast<double>(cluster.instanceCount());
     }
     return window;
 }
@@ -164,6 +169,15 @@
     return warm;
 }
 
+template<typename Count>
+std::string listText(std::map<std::string, Count> const &counts)
+{
+    std::string text;
+    for (auto const &[name, count] : counts)
+        text += fmt::format("{}{} {:.0f}", text.empty() ? "" : ", ", name, static_cast<double>(count));
+    return text;
+}
+
 std::string brokenText(BrokenFlows const &broken)
 {
     return fmt::format("{} long, {} short", broken.longFlows, broken.shortFlows);
@@ -197,7 +211,8 @@
             fmt::format("{:.0f}", window.meanRate),
             fmt::format("{:.0f}", window.highestRate),
             fmt::format("{}", window.peakSecond),
-            met(window.highestRate <= controlTarget)};
+            met(window.highestRate <= controlTarget),
+            listText(window.meanRates)};
 }
 
 ChangeRows measureChange(Change const &change, std::uint64_t seed)
@@ -223,6 +238,7 @@
     rows.flows = {change.name,
                   fmt::format("{}", packets),
                   brokenText(callers.broken),
+                  listText(callers.brokenReasons),
                   brokenText(callers.brokenBaseline),
                   fmt::format("{}", unanswered),
                   fmt::format("{}", callers.cluster->doubleOpens),
@@ -246,17 +262,17 @@
 Report runBalanceExperiment(std::uint64_t seed)
 {
     ReportTable flows{.title = "Broken flows during the change and 30 s after it",
-                      .columns = {"change", "packets", "broken", "broken, plain rendezvous",
+                      .columns = {"change", "packets", "broken", "reasons", "broken, plain rendezvous",
                                   "long flows unanswered at the end", "flows opened twice", "refused opens",
                                   "record fetches since the start"}};
     ReportTable imbalance{.title = "Imbalance (largest over mean of the flows at a warm target)",
                           .columns = {"change", "warm targets", "all flows at the end",
                                       "opened after the change", "target (1.25) met by new flows",
                                       "all flows, plain rendezvous", "opened after, plain rendezvous"}};
-    ReportTable control{.title =
-                            "Control bytes sent by an instance (peer datagrams but Forwarded, as encoded)",
-                        .columns = {"phase", "seconds", "mean B/s", "B/s of the highest instance",
-                                    "highest single second, B", "target (2,048 B/s) met"}};
+    ReportTable control{
+        .title = "Control bytes sent by an instance (peer datagrams but Forwarded, as encoded)",
+        .columns = {"phase", "seconds", "mean B/s", "B/s of the highest instance", "highest single second, B",
+                    "target (2,048 B/s) met", "mean B/s by kind"}};
     std::vector<Change> const changes{{"(a) rolling replacement", replaceTargets},
                                       {"(b) scaling from 15 to 22", scaleTargets},
                                       {"(c) restart of each instance", restartInstances}};
--- a/Utilities/almondwing-bench/CallerPopulation.cpp
+++ b/Utilities/almondwing-bench/CallerPopulation.cpp
@@ -94,6 +94,7 @@
         if (found == this->flows.end())
             return;
         this->countBroken(this->broken, found->second.life);
+        ++this->brokenReasons[std::string(reasonName(end->reason))];
         // The caller opens the flow again, as it would.
         found->second.state = State::Opening;
     } else if (std::holds_alternative<FlowRefused>(reply)) {
@@ -211,6 +212,7 @@
 {
     this->broken = {};
     this->brokenBaseline = {};
+    this->brokenReasons.clear();
     this->refusals = 0;
     this->packets = 0;
     this->opened.clear();
--- a/Utilities/almondwing-bench/CallerPopulation.h
+++ b/Utilities/almondwing-bench/CallerPopulation.h
@@ -57,6 +57,7 @@
     std::unique_ptr<InstanceCluster> cluster;
     BrokenFlows broken;
     BrokenFlows brokenBaseline;
+    std::map<std::string, std::size_t> brokenReasons; // Of `broken`.
     std::size_t refusals = 0;
     std::size_t packets = 0;
     FlowsByTarget opened; // Since the last reset, by the target that accepted the flow.
--- a/Utilities/almondwing-bench/InstanceCluster.cpp
+++ b/Utilities/almondwing-bench/InstanceCluster.cpp
@@ -16,6 +16,19 @@
 constexpr Duration announcementInterval = 2s;
 constexpr Endpoint caller{.address = 0x7f000001, .port = 9};
 
+std::string kindOf(PeerMessage const &message)
+{
+    if (std::holds_alternative<ClaimUpdate>(message))
+        return "claims";
+    if (std::holds_alternative<ExceptionUpdate>(message))
+        return "exceptions and handover";
+    if (std::holds_alternative<FlowFound>(message))
+        return "found flows";
+    bool const isMembership = std::holds_alternative<Ping>(message) || std::holds_alternative<Ack>(message)
+        || std::holds_alternative<IndirectPing>(message);
+    return isMembership ? "membership" : "requests";
+}
+
 template<typename Table>
 auto valuesOf(Table const &table)
 {
@@ -110,6 +123,7 @@
         VERIFY(datagram.ok());
         this->controlTraffic[from].bytes += datagram->size();
         this->controlTraffic[from].bytesInSecond += datagram->size();
+        this->controlTraffic[from].bytesByKind[kindOf(message)] += datagram->size();
     }
     this->link.emplace_back([this, from, receiver = this->indices.at(to), message] {
         this->deliverToInstance(from, receiver, message);
--- a/Utilities/almondwing-bench/InstanceCluster.h
+++ b/Utilities/almondwing-bench/InstanceCluster.h
@@ -36,6 +36,7 @@
     std::uint64_t bytes = 0;
     std::uint64_t bytesInSecond = 0;
     std::uint64_t peakSecond = 0;
+    std::map<std::string, std::uint64_t> bytesByKind = {};
 
     friend bool operator==(ControlTraffic const &, ControlTraffic const &) = default;
 };
