--- /dev/null
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -0,0 +1,24 @@
+// The experiments behind docs/measurements.md. Each gives its figures as a report; the same seed gives the
+// same events, though not the same times.
+
+#pragma once
+
+#include "Report.h"
+
+#include <cstdint>
+
+namespace almondwing {
+
+// The cost of the decision about a packet, against one UDP send plus receive on loopback.
+Report runPacketExperiment(std::uint64_t seed);
+
+// The heap bytes of each entry of the blackboard.
+Report runMemoryExperiment(std::uint64_t seed);
+
+// Broken flows, imbalance and control bytes during planned changes, beside plain rendezvous hashing.
+Report runBalanceExperiment(std::uint64_t seed);
+
+// Control bytes and processor time of idle membership controllers, over the size of the cluster.
+Report runMembershipExperiment(std::uint64_t seed);
+
+} // namespace almondwing
