Routing: Walk flows only when a look is due, and lose none at a stop

Change: walk flows after a change of the view, and every 5 s; publish only new buckets at once; tell where a flow was found only after a search past other candidates; a leaving instance drops an Open for its successor; a restarted instance no longer takes the epoch of a record as evidence that it knows all flows; entries of a table lie in one array.

--- a/Libraries/LibBlackboard/ShardedTable.h
+++ b/Libraries/LibBlackboard/ShardedTable.h
@@ -7,13 +7,14 @@
 
 #include <LibCore/Hash.h>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -156,7 +157,9 @@
     struct alignas(64) Shard
     {
         mutable std::mutex mutex;
-        std::unordered_map<Key, Versioned<Value>> entries;
+        // Entries lie in one array, so a look-up touches few cache lines and a walk over all entries is
+        // cheap.
+        absl::flat_hash_map<Key, Versioned<Value>, std::hash<Key>> entries;
         Version lastVersion = 0;
     };
 
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -95,7 +95,8 @@
 void Instance::tick(Timestamp now)
 {
     this->membership.tick(now);
-    this->targets.tick(now);
+    if (this->isTargetTickDue(now))
+        this->targets.tick(now);
     this->routing.refresh(now);
     this->sweeper.refreshKnowledge(now);
     this->handleOwnershipChanges(now);
@@ -112,6 +113,18 @@
         this->idleSince = now.time_since_epoch().count();
 }
 
+// The records of targets change by the second; a look at all of them at each tick would only cost processor
+// time.
+bool Instance::isTargetTickDue(Timestamp now)
+{
+    Duration::rep const last = this->lastTargetTick;
+    Duration::rep const current = now.time_since_epoch().count();
+    if (last != 0 && Duration(current - last) < targetTickInterval)
+        return false;
+    this->lastTargetTick = current;
+    return true;
+}
+
 void Instance::handleOwnershipChanges(Timestamp now)
 {
     for (TargetId const target : this->targets.takenOver())
--- a/Libraries/LibInstance/Instance.h
+++ b/Libraries/LibInstance/Instance.h
@@ -36,6 +36,8 @@
 // After its last work an instance still forwards what arrives until the others have seen that it leaves.
 constexpr Duration stopLinger = 3s;
 
+constexpr Duration targetTickInterval = 100ms;
+
 class Instance
 {
 public:
@@ -77,6 +79,7 @@
 
 private:
     void handleOwnershipChanges(Timestamp now);
+    bool isTargetTickDue(Timestamp now);
 
     Blackboard blackboard;
     MembershipController membership;
@@ -89,6 +92,7 @@
     HandoverController handover;
     ConfigurationKeeper configurationKeeper;
     CallerRouter router;
+    std::atomic<Duration::rep> lastTargetTick{0}; // Microseconds of the steady clock.
     std::atomic<Duration::rep> stopBegun{0}; // Microseconds of the steady clock; 0 before a stop.
     std::atomic<Duration::rep> idleSince{0}; // The same; 0 while there is work.
 };
--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -11,12 +11,15 @@
 
 namespace {
 
-constexpr Duration recomputeInterval = 1s;
+// The claims are computed soon after a change of the view, and seldom otherwise: a claim that stays a few
+// seconds too long only costs a search.
+constexpr Duration changeRecomputeInterval = 500ms;
+constexpr Duration idleRecomputeInterval = 5s;
 
 // A claim is sent again after each of these times, because datagrams get lost, and then at the refresh
 // interval.
 constexpr std::array<Duration, 2> repeatDelays{200ms, 1s};
-constexpr Duration refreshInterval = 10s;
+constexpr Duration refreshInterval = 60s;
 
 using BucketsByTarget = std::unordered_map<TargetId, std::set<std::uint16_t>>;
 
@@ -99,11 +102,15 @@
 void ClaimController::tick(Timestamp now)
 {
     auto const view = this->blackboard.routingView.read();
+    std::uint64_t const exceptions = this->blackboard.openedExceptions.load(std::memory_order_relaxed);
     {
         std::scoped_lock const lock(this->mutex);
-        if (view == this->lastView && now - this->lastComputed < recomputeInterval)
+        bool const isUnchanged = view == this->lastView && exceptions == this->lastExceptions;
+        Duration const interval = isUnchanged ? idleRecomputeInterval : changeRecomputeInterval;
+        if (this->lastView != nullptr && now - this->lastComputed < interval)
             return;
         this->lastView = view;
+        this->lastExceptions = exceptions;
         this->lastComputed = now;
     }
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
@@ -153,7 +160,10 @@
         if (isFirst && buckets.empty())
             return;
         Published next = isFirst ? Published{} : earlier->second;
-        bool const hasChanged = isFirst || next.buckets != buckets || next.receivers != receivers;
+        // Buckets whose last flow has ended are withdrawn with the next refresh, or at once if none is left.
+        bool const hasNewBuckets = !std::ranges::includes(next.buckets, buckets);
+        bool const isNowEmpty = buckets.empty() && !next.buckets.empty();
+        bool const hasChanged = isFirst || hasNewBuckets || isNowEmpty || next.receivers != receivers;
         Duration const delay = next.repeats <= repeatDelays.size() && next.repeats > 0
             ? repeatDelays[next.repeats - 1]
             : refreshInterval;
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -55,6 +55,7 @@
     RequestBuckets requestBuckets;
     std::mutex mutex; // Guards the members below; not held during a send.
     std::shared_ptr<RoutingView const> lastView;
+    std::uint64_t lastExceptions = 0;
     Timestamp lastComputed;
     std::uint64_t counter = 0;
     std::unordered_map<TargetId, Published> published;
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -17,6 +17,9 @@
 // record.
 constexpr Duration timeResolution = 1s;
 
+// A search counts its hops from here, so that a dispatcher sees whether it is the first candidate.
+constexpr std::uint8_t searchBaseHops = 8;
+
 // An adopted flow that this many targets in turn do not know is reported broken.
 constexpr std::uint8_t maximumMisses = 3;
 
@@ -165,8 +168,10 @@
             });
     }
     this->forwardToTarget(arrival.message, target->record.packetEndpoint);
-    bool const wasSearched = arrival.purpose == ForwardPurpose::Search && arrival.origin != this->self();
-    if (wasSearched && mustRefresh)
+    // Where the search went past other candidates, the origin is spared that from now on.
+    bool const wasLaterCandidate = arrival.purpose == ForwardPurpose::Search
+        && arrival.origin != this->self() && arrival.hops > searchBaseHops + 1;
+    if (wasLaterCandidate)
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = key, .target = record.target});
 }
 
@@ -197,6 +202,7 @@
     FlowArrival search = arrival;
     search.origin = this->self();
     search.originTarget = arrival.target;
+    search.hops = std::max(arrival.hops, searchBaseHops);
     search.isOriginComplete = this->knowledgeOf(arrival.target) == KnowledgeState::Complete;
     this->visitCandidates(search, key, std::move(candidates), now);
 }
@@ -324,11 +330,10 @@
         this->spillOrRefuse(arrival, open, Reason::NoTarget, now);
         return;
     }
+    // Another instance dispatches for the target, or soon will. The caller's next Open reaches it; opening
+    // the flow at another target instead would leave it with a record that the successor does not know of.
     if (status->phase != InstancePhase::Serving || status->lease != LeaseState::Held) {
-        Reason const reason = status->phase == InstancePhase::Leaving ? Reason::InstanceStopping
-            : status->phase == InstancePhase::Joining                 ? Reason::InstanceStarting
-                                                                      : Reason::LeaseExpired;
-        this->spillOrRefuse(arrival, open, reason, now);
+        this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
         return;
     }
     if (acquireConnection(this->blackboard, arrival.target, target->limits.connections, now)
@@ -350,6 +355,8 @@
     }
     this->atomicCounters.opened.fetch_add(1, std::memory_order_relaxed);
     this->outbox.sendToTarget(target->record.packetEndpoint, open);
+    if (arrival.purpose == ForwardPurpose::Spill)
+        this->blackboard.openedExceptions.fetch_add(1, std::memory_order_relaxed);
     if (arrival.purpose == ForwardPurpose::Spill && arrival.origin != this->self())
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = open.key, .target = arrival.target});
 }
@@ -547,12 +554,18 @@
     auto const candidates = this->searchCandidates(key, record.target);
     bool const isElsewhere =
         record.state == FlowState::Adopted && !candidates.empty() && record.misses < maximumMisses;
-    if (!isElsewhere) {
+    bool const mayBeClaimedSoon =
+        record.state == FlowState::Adopted && this->isInGrace(key, record.target, now);
+    if (!isElsewhere && !mayBeClaimedSoon) {
         this->breakFlow(key, record, reason);
         return;
     }
     this->blackboard.flows.remove(key);
     releaseConnection(this->blackboard, record.target);
+    if (!isElsewhere) {
+        this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
     auto const view = this->blackboard.routingView.read();
     RoutedTarget const *const next = view->findTarget(candidates.front());
     if (next == nullptr || next->dispatcher != this->self()) {
--- a/Libraries/LibRouting/FlowSweeper.cpp
+++ b/Libraries/LibRouting/FlowSweeper.cpp
@@ -66,18 +66,23 @@
         return Reason::TargetLost;
     if (takenOut.contains(target->record.failureDomain))
         return Reason::FailureDomainTakenOut;
+    Timestamp const lastHeard = std::max(record.lastFromCaller, record.lastFromTarget);
+    if (record.state == FlowState::Adopted && now - lastHeard > unconfirmedAfter)
+        return Reason::None;
     if (isSilent(record, heard, now))
         return Reason::TargetSilent;
-    if (now - std::max(record.lastFromCaller, record.lastFromTarget) > idleAfter)
+    if (now - lastHeard > idleAfter)
         return Reason::Cancelled;
     return std::nullopt;
 }
 
-FlowKnowledge firstKnowledge(TargetRecord const &record, InstanceId self, Timestamp now)
+// Only a process that got the first announcement of the target's process has seen all its flows. The owner of
+// the record is no evidence: this instance may have been restarted since.
+FlowKnowledge firstKnowledge(Blackboard const &blackboard, TargetRecord const &record, Timestamp now)
 {
-    // Epoch 1 is the first record of the target, so nobody dispatched for it before.
-    bool const isFirstDispatcher = record.sequence.epoch == 1 && record.sequence.owner == self;
-    return FlowKnowledge{.state = isFirstDispatcher ? KnowledgeState::Complete : KnowledgeState::Partial,
+    auto const created = blackboard.createdTargets.read(record.id);
+    bool const isComplete = created && created->value == record.startMark;
+    return FlowKnowledge{.state = isComplete ? KnowledgeState::Complete : KnowledgeState::Partial,
                          .targetStart = record.startMark,
                          .since = now};
 }
@@ -92,6 +97,12 @@
 void FlowSweeper::refreshKnowledge(Timestamp now)
 {
     auto const view = this->blackboard.routingView.read();
+    {
+        std::scoped_lock const lock(this->mutex);
+        if (view == this->knownView)
+            return;
+        this->knownView = view;
+    }
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
     for (auto const &[id, routes] : view->services) {
         for (RoutedTarget const &target : routes->targets) {
@@ -103,7 +114,7 @@
                 target.record.id,
                 [&](std::optional<FlowKnowledge> const &current) -> std::optional<FlowKnowledge> {
                     if (!current)
-                        return firstKnowledge(target.record, self, now);
+                        return firstKnowledge(this->blackboard, target.record, now);
                     if (current->targetStart == target.record.startMark)
                         return std::nullopt;
                     // A new process of the target has no flows of earlier ones.
@@ -131,13 +142,17 @@
 
 void FlowSweeper::tick(Timestamp now)
 {
+    auto const view = this->blackboard.routingView.read();
     {
         std::scoped_lock const lock(this->mutex);
-        if (now - this->lastSweep < sweepInterval)
+        bool const hasNewConfiguration =
+            this->sweptView == nullptr || this->sweptView->configurationVersion != view->configurationVersion;
+        Duration const interval = view == this->sweptView ? idleSweepInterval : changeSweepInterval;
+        if (!hasNewConfiguration && now - this->lastSweep < interval)
             return;
         this->lastSweep = now;
+        this->sweptView = view;
     }
-    auto const view = this->blackboard.routingView.read();
     auto const takenOutDomains = domainsTakenOut(this->blackboard.configuration.read()->manifest);
     HeardTimes const heard = lastHeardByTarget(this->blackboard);
     std::vector<EndingFlow> ending;
@@ -169,6 +184,8 @@
         this->idle.fetch_add(1, std::memory_order_relaxed);
         break;
     }
+    if (reason == Reason::None)
+        return;
     this->outbox.sendToCaller(record.caller, FlowBroken{.key = key, .reason = reason});
     bool const mayReachTarget = reason == Reason::TargetSilent || reason == Reason::Cancelled;
     if (!mayReachTarget)
--- a/Libraries/LibRouting/FlowSweeper.h
+++ b/Libraries/LibRouting/FlowSweeper.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 
 namespace almondwing {
@@ -20,7 +21,14 @@
 // minutes.
 constexpr Duration idleAfter = 1h;
 
-constexpr Duration sweepInterval = 1s;
+// A flow that was handed over and then neither used nor confirmed may have ended meanwhile. Its record is
+// dropped without a word; if the flow lives, its next packet is adopted again.
+constexpr Duration unconfirmedAfter = 2min;
+
+// All flows are looked over at once after a change of the configuration, soon after any other change of the
+// view, and seldom otherwise, because the look takes time in proportion to the flows.
+constexpr Duration changeSweepInterval = 1s;
+constexpr Duration idleSweepInterval = 5s;
 
 struct SweepCounters
 {
@@ -40,7 +48,7 @@
     // To be called after each refresh of the routing view.
     void refreshKnowledge(Timestamp now);
 
-    // Looks over all flows if the last look was at least sweepInterval ago.
+    // Looks over all flows if a look is due.
     void tick(Timestamp now);
 
     // After a pause of the process: a successor may have taken over, so nothing is known completely any more.
@@ -55,8 +63,10 @@
 
     Blackboard &blackboard;
     Outbox outbox;
-    std::mutex mutex; // Guards lastSweep.
+    std::mutex mutex; // Guards the following three.
     Timestamp lastSweep;
+    std::shared_ptr<RoutingView const> sweptView;
+    std::shared_ptr<RoutingView const> knownView;
     std::atomic<std::uint64_t> silent = 0;
     std::atomic<std::uint64_t> targetLost = 0;
     std::atomic<std::uint64_t> takenOut = 0;
--- a/Libraries/LibRouting/HandoverController.cpp
+++ b/Libraries/LibRouting/HandoverController.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/HandoverController.h>
 
 #include <LibRouting/ConnectionCount.h>
+#include <LibState/Rendezvous.h>
 
 #include <map>
 #include <unordered_set>
@@ -31,11 +32,11 @@
 
 // Takes the first flows that the selector accepts, of the target of the first one.
 template<typename Select>
-Batch selectBatch(Blackboard const &blackboard, Select const &select)
+Batch selectBatch(Blackboard const &blackboard, std::size_t limit, Select const &select)
 {
     Batch batch;
     blackboard.flows.forEach([&](FlowKey const &key, FlowRecord const &record) {
-        if (batch.flows.size() >= flowsPerUpdate || (!batch.flows.empty() && record.target != batch.target))
+        if (batch.flows.size() >= limit || (!batch.flows.empty() && record.target != batch.target))
             return;
         if (!select(key, record))
             return;
@@ -73,26 +74,44 @@
 {
     auto const view = this->blackboard.routingView.read();
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
-    this->promoteCopies(*view, self, now);
     bool mayHandOver = false;
     bool mayCopy = false;
     {
         std::scoped_lock const lock(this->mutex);
-        mayHandOver = now - this->lastHandover >= handoverInterval;
+        bool const isUrgent = view != this->lastView || this->mayHaveMore;
+        mayHandOver = now - this->lastHandover >= (isUrgent ? handoverInterval : idleHandoverInterval);
         mayCopy = now - this->lastCopies >= copyInterval;
-        if (mayHandOver)
+        if (mayHandOver) {
             this->lastHandover = now;
+            this->lastView = view;
+        }
         if (mayCopy)
             this->lastCopies = now;
     }
-    if (mayHandOver)
-        this->handOver(*view, self);
-    if (mayCopy) {
+    if (mayHandOver) {
+        this->promoteCopies(*view, self, now);
+        bool const hasMore = this->handOver(*view, self);
+        std::scoped_lock const lock(this->mutex);
+        this->mayHaveMore = hasMore;
+    }
+    if (mayCopy && this->hasOwnClaims(*view, self)) {
         this->sendCopies(*view, self);
         this->sendRemovals(*view, self);
     }
 }
 
+// Only targets with a claim have exceptions to copy, or copies to remove.
+bool HandoverController::hasOwnClaims(RoutingView const &view, InstanceId self) const
+{
+    bool hasClaims = this->blackboard.replicatedFlows.size() > 0;
+    this->blackboard.claims.forEach([&](TargetId id, ClaimUpdate const &claim) {
+        RoutedTarget const *const target = view.findTarget(id);
+        bool const isOwn = target != nullptr && target->dispatcher == self;
+        hasClaims = hasClaims || (isOwn && !claim.buckets.empty());
+    });
+    return hasClaims;
+}
+
 bool HandoverController::hasFlowsToHandOver() const
 {
     auto const view = this->blackboard.routingView.read();
@@ -104,13 +123,14 @@
     return hasFlows;
 }
 
-void HandoverController::handOver(RoutingView const &view, InstanceId self)
+bool HandoverController::handOver(RoutingView const &view, InstanceId self)
 {
-    Batch batch = selectBatch(this->blackboard, [&](FlowKey const &, FlowRecord const &record) {
-        return belongsElsewhere(view, record, self);
-    });
+    Batch batch =
+        selectBatch(this->blackboard, flowsPerUpdate, [&](FlowKey const &, FlowRecord const &record) {
+            return belongsElsewhere(view, record, self);
+        });
     if (batch.flows.empty())
-        return;
+        return false;
     InstanceId const successor = view.findTarget(batch.target)->dispatcher;
     for (FlowException const &flow : batch.flows) {
         this->blackboard.flows.remove(flow.key);
@@ -118,6 +138,7 @@
     }
     this->outbox.sendToInstance(
         successor, ExceptionUpdate{.target = batch.target, .added = std::move(batch.flows), .removed = {}});
+    return true;
 }
 
 void HandoverController::promoteCopies(RoutingView const &view, InstanceId self, Timestamp now)
@@ -152,9 +173,11 @@
     std::unordered_set<FlowKey> copied;
     this->blackboard.replicatedFlows.forEach(
         [&](FlowKey const &key, FlowCopy const &) { copied.insert(key); });
-    Batch const batch = selectBatch(this->blackboard, [&](FlowKey const &key, FlowRecord const &record) {
+    constexpr std::size_t copyLimit = copiesPerSecond / (replicaGroupSize - 1);
+    auto const isUncopied = [&](FlowKey const &key, FlowRecord const &record) {
         return isException(view, key, record.target) && !copied.contains(key);
-    });
+    };
+    Batch const batch = selectBatch(this->blackboard, copyLimit, isUncopied);
     if (batch.flows.empty())
         return;
     RoutedTarget const *const target = view.findTarget(batch.target);
--- a/Libraries/LibRouting/HandoverController.h
+++ b/Libraries/LibRouting/HandoverController.h
@@ -7,6 +7,7 @@
 #include <LibMessages/Outbox.h>
 #include <LibState/Blackboard.h>
 
+#include <memory>
 #include <mutex>
 
 namespace almondwing {
@@ -14,13 +15,17 @@
 // One ExceptionUpdate carries at most this many flows, to fit into a datagram.
 constexpr std::size_t flowsPerUpdate = 40;
 
-// Copies of exceptions are paced to one full update of about 1 KB each second, half of the control budget of
-// an instance.
+// Copies of exceptions are paced to this many flows each second over all receivers, about 1 KB and half of
+// the control budget of an instance.
+constexpr std::size_t copiesPerSecond = 32;
 constexpr Duration copyInterval = 1s;
 
 // A planned handover is short and must end before the instance stops, so it runs faster than the copies.
 constexpr Duration handoverInterval = 20ms;
 
+// All flows are looked over for a handover when the view has changed, and seldom otherwise.
+constexpr Duration idleHandoverInterval = 5s;
+
 class HandoverController
 {
 public:
@@ -36,14 +41,18 @@
     bool hasFlowsToHandOver() const;
 
 private:
-    void handOver(RoutingView const &view, InstanceId self);
+    // Returns whether there may be more flows to hand over.
+    bool handOver(RoutingView const &view, InstanceId self);
+    bool hasOwnClaims(RoutingView const &view, InstanceId self) const;
     void promoteCopies(RoutingView const &view, InstanceId self, Timestamp now);
     void sendCopies(RoutingView const &view, InstanceId self);
     void sendRemovals(RoutingView const &view, InstanceId self);
 
     Blackboard &blackboard;
     Outbox outbox;
-    std::mutex mutex; // Guards the times below.
+    std::mutex mutex; // Guards the members below.
+    std::shared_ptr<RoutingView const> lastView;
+    bool mayHaveMore = false; // The last batch of a handover was not the last one needed.
     Timestamp lastCopies;
     Timestamp lastHandover;
 };
--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -14,6 +14,7 @@
 #include <LibState/RoutingView.h>
 #include <LibState/TargetUsage.h>
 
+#include <atomic>
 #include <cstdint>
 
 namespace almondwing {
@@ -30,11 +31,15 @@
 {
     ShardedTable<InstanceId, MemberRecord, 8> members; // Writer: membership.
     ShardedTable<TargetId, TargetRecord, 16> targets; // Writers: targets (own ones), membership (others').
+    // Start marks of targets whose first announcement reached this process. Writer: targets.
+    ShardedTable<TargetId, std::uint64_t, 16> createdTargets;
     ShardedTable<InstanceId, PendingUpdate, 8> memberUpdates; // Writer: membership.
     ShardedTable<TargetId, PendingUpdate, 16> targetUpdates; // Writers: targets (adds), membership (spreads).
     ShardedTable<TargetId, ClaimUpdate, 16> claims; // Writer: claims.
     ShardedTable<TargetId, TargetUsage, 16> usage; // Writers: flows, requests; reader: targets.
     ShardedTable<FlowKey, FlowRecord> flows; // Writer: flows.
+    // Counts flows opened at a target that the table does not name, so that their buckets are claimed soon.
+    std::atomic<std::uint64_t> openedExceptions = 0; // Writer: flows.
     ShardedTable<FlowKey, FlowRedirect, 16> redirects; // Writer: flows.
     ShardedTable<FlowKey, FlowCopy, 16> flowCopies; // Writer: handover.
     ShardedTable<FlowKey, FlowCopy, 16>
--- a/Tests/LibRouting/RoutingCluster.cpp
+++ b/Tests/LibRouting/RoutingCluster.cpp
@@ -161,7 +161,11 @@
                                .state = TargetState::Warm,
                                .rampLevel = 4,
                                .sequence = {.epoch = 1}}};
-    this->publishTarget(this->targets.insert_or_assign(name, target).first->second);
+    FakeTarget &added = this->targets.insert_or_assign(name, target).first->second;
+    this->publishTarget(added);
+    std::size_t const dispatcher = this->indexOf(added.record.sequence.owner);
+    this->instances[dispatcher]->blackboard.createdTargets.update(
+        added.record.id, [&](auto const &) { return added.record.startMark; });
 }
 
 void RoutingCluster::restartTarget(std::string const &name)
