--- /dev/null
+++ b/Tests/Deployment/ColdTargetTest.cpp
@@ -0,0 +1,70 @@
+// Tests of a target that becomes cold without warning.
+
+#include "Deployment.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+class ColdTargetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ColdTargetTest);
+    CPPUNIT_TEST(restartedTargetIsNotOverloaded);
+    CPPUNIT_TEST_SUITE_END();
+
+    static int rampLevel(Deployment const &deployment, std::string const &name)
+    {
+        Json const status = deployment.getJson(deployment.instances().front().http, "/v1/status");
+        for (Json const &service : status.at("services")) {
+            for (Json const &target : service.at("targets")) {
+                if (target.at("name") == name)
+                    return target.at("rampLevel").get<int>();
+            }
+        }
+        return -1;
+    }
+
+    // Guards against a cold target that gets the load of the warm one it was before (R3).
+    void restartedTargetIsNotOverloaded()
+    {
+        constexpr int fullLevel = 4;
+        constexpr int slots = 2;
+        Deployment deployment;
+        deployment.startFourTargets();
+        // About three times what the slots of four targets can take.
+        auto const work = deployment.startCaller({"--requests", "100000", "--rate", "50", "--sleep-ms", "500",
+                                                  "--deadline-ms", "3000", "--flows", "100000", "--flow-rate",
+                                                  "20", "--ports", "4", "--flows-for-ms", "600000"});
+        CPPUNIT_ASSERT_MESSAGE("desk-1 does not get warm",
+                               waitUntil([&] { return rampLevel(deployment, "desk-1") == fullLevel; }));
+        std::string const packets = deployment.targetPackets("desk-1").toString();
+        std::string const http = deployment.targetHttp("desk-1").toString();
+        deployment.process("desk-1").kill();
+        // Four answers of 500 ms, one at a time, take the target through the levels with one slot; it is cold
+        // for less than that.
+        deployment.startTarget(
+            {.name = "desk-1",
+             .failureDomain = "dar-a",
+             .extra = {"--packets", packets, "--http", http, "--cold-ms", "1500", "--cold-slots", "1"}});
+        int largestRunning = 0;
+        constexpr int answersBeyondRamp = 12;
+        bool const isWarm = waitUntil([&] {
+            Json const statistics = deployment.targetStatistics("desk-1");
+            largestRunning = std::max(largestRunning, statistics.at("running").get<int>());
+            return statistics.at("runsAnswered").get<int>() >= answersBeyondRamp
+                && rampLevel(deployment, "desk-1") == fullLevel;
+        });
+        Json const statistics = deployment.targetStatistics("desk-1");
+        CPPUNIT_ASSERT_MESSAGE(statistics.dump(), isWarm);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(statistics.dump(), 0, statistics.at("overfilledWhileCold").get<int>());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(statistics.dump(), 0, statistics.at("runsShed").get<int>());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(statistics.dump(), 0, statistics.at("flowsRefused").get<int>());
+        CPPUNIT_ASSERT_MESSAGE(statistics.dump(), largestRunning <= slots);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ColdTargetTest);
+
+} // namespace almondwing
