Deployment: Warm the targets with flows instead of requests

Cause of the remaining OutcomeUnknown: records of the requests that warmed the targets kept buckets claimed, and requests in claimed buckets are located, which an instance younger than 90 s can't answer.

--- a/Tests/Deployment/Deployment.cpp
+++ b/Tests/Deployment/Deployment.cpp
@@ -266,8 +266,8 @@
 void Deployment::warmTargets()
 {
     bool const isWarm = waitUntil([&] {
-        auto const caller = this->startCaller(
-            {"--requests", "100", "--concurrency", "8", "--ports", "4", "--deadline-ms", "20000"});
+        auto const caller = this->startCaller({"--flows", "2500", "--flow-rate", "2000", "--ports", "4",
+                                               "--interval-ms", "60000", "--flows-for-ms", "2500"});
         this->summaryOf(*caller);
         return this->hasOnlyWarmTargets();
     });
--- a/Tests/Deployment/Deployment.h
+++ b/Tests/Deployment/Deployment.h
@@ -88,9 +88,10 @@
     void startFourTargets();
     void waitUntilRouted(std::vector<std::string> const &targets);
 
-    // Gives the targets requests until all are warm and the bucket tables stand still. Until then, and while
-    // an instance is younger than 90 s, a request in a bucket that has just moved is OutcomeUnknown: a young
-    // instance can't vouch that no earlier process of it has recorded the request.
+    // Opens and closes flows until all targets are warm and the bucket tables stand still. Before, a request
+    // may end as OutcomeUnknown: in a bucket that has just moved or is claimed it is located first, and an
+    // instance younger than 90 s can't vouch that no earlier process of it has recorded the request. Flows,
+    // because the records of requests keep buckets claimed for a minute.
     void warmTargets();
 
     std::unique_ptr<ChildProcess> startCaller(Arguments const &arguments);
