Deployment: Reserve the pointer list

Cause: the list of argument pointers for a child process grows in a loop although its size is known, which the linter reports (performance-inefficient-vector-operation).

Change: one reserve() before the loop.

Conclusion: no change of behaviour.

--- a/Tests/Deployment/ChildProcess.cpp
+++ b/Tests/Deployment/ChildProcess.cpp
@@ -26,6 +26,7 @@
 std::vector<char *> pointersTo(std::vector<std::string> &texts)
 {
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string &text : texts)
         pointers.push_back(text.data());
     pointers.push_back(nullptr);
