Routing: Format

The failure report of the test also describes where the flow is.

Conclusion: no change of behaviour; the test reports more when it fails.

--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -169,8 +169,8 @@
     }
     this->forwardToTarget(arrival.message, target->record.packetEndpoint);
     // Where the search went past other candidates, the origin is spared that from now on.
-    bool const wasLaterCandidate = arrival.purpose == ForwardPurpose::Search
-        && arrival.origin != this->self() && arrival.hops > searchBaseHops + 1;
+    bool const wasLaterCandidate = arrival.purpose == ForwardPurpose::Search && arrival.origin != this->self()
+        && arrival.hops > searchBaseHops + 1;
     if (wasLaterCandidate)
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = key, .target = record.target});
 }
--- a/Tests/LibRouting/FlowMovesTest.cpp
+++ b/Tests/LibRouting/FlowMovesTest.cpp
@@ -57,7 +57,7 @@
 void expectNoBrokenFlows(RoutingCluster const &cluster)
 {
     for (auto const &[flow, reason] : cluster.broken)
-        RC_LOG() << "flow " << flow << " broken: " << reasonName(reason) << '\n';
+        RC_LOG() << "broken: " << reasonName(reason) << '\n' << cluster.describeFlow(flow);
     for (std::string const &violation : cluster.violations)
         RC_LOG() << violation << '\n';
     RC_ASSERT(cluster.broken.empty());
