Routing: Publish claims only under the own epoch, and repeat them in time

Change: publish only while the record names this instance as owner; look again while repeats are due; send again under a new epoch. The test cluster raises the epoch with the owner, as the target controller does, and prints where a broken flow is.

--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -99,13 +99,20 @@
         });
 }
 
+bool ClaimController::hasRepeatsToSend() const
+{
+    return std::ranges::any_of(this->published,
+                               [](auto const &entry) { return entry.second.repeats <= repeatDelays.size(); });
+}
+
 void ClaimController::tick(Timestamp now)
 {
     auto const view = this->blackboard.routingView.read();
     std::uint64_t const exceptions = this->blackboard.openedExceptions.load(std::memory_order_relaxed);
     {
         std::scoped_lock const lock(this->mutex);
-        bool const isUnchanged = view == this->lastView && exceptions == this->lastExceptions;
+        bool const isUnchanged =
+            view == this->lastView && exceptions == this->lastExceptions && !this->hasRepeatsToSend();
         Duration const interval = isUnchanged ? idleRecomputeInterval : changeRecomputeInterval;
         if (this->lastView != nullptr && now - this->lastComputed < interval)
             return;
@@ -117,7 +124,10 @@
     BucketsByTarget const flowBuckets = foreignFlowBuckets(this->blackboard, *view);
     for (auto const &[id, routes] : view->services) {
         for (RoutedTarget const &target : routes->targets) {
-            if (target.dispatcher != self)
+            // The epoch of a claim is that of the record. A dispatcher whose record is not written yet, or
+            // that has been succeeded, would publish under the epoch of another and hide the claims of that
+            // one.
+            if (target.dispatcher != self || target.record.sequence.owner != self)
                 continue;
             std::set<std::uint16_t> buckets;
             if (auto const found = flowBuckets.find(target.record.id); found != flowBuckets.end())
@@ -163,7 +173,8 @@
         // Buckets whose last flow has ended are withdrawn with the next refresh, or at once if none is left.
         bool const hasNewBuckets = !std::ranges::includes(next.buckets, buckets);
         bool const isNowEmpty = buckets.empty() && !next.buckets.empty();
-        bool const hasChanged = isFirst || hasNewBuckets || isNowEmpty || next.receivers != receivers;
+        bool const hasChanged = isFirst || hasNewBuckets || isNowEmpty || next.receivers != receivers
+            || next.epoch != target.record.sequence.epoch;
         Duration const delay = next.repeats <= repeatDelays.size() && next.repeats > 0
             ? repeatDelays[next.repeats - 1]
             : refreshInterval;
@@ -173,6 +184,7 @@
         next.repeats = hasChanged ? 1 : next.repeats + 1;
         next.buckets = std::move(buckets);
         next.receivers = receivers;
+        next.epoch = target.record.sequence.epoch;
         next.lastSent = now;
         this->published.insert_or_assign(target.record.id, std::move(next));
         update.sequence =
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -42,12 +42,15 @@
     {
         std::vector<std::uint16_t> buckets;
         std::vector<InstanceId> receivers;
+        std::uint64_t epoch =
+            0; // Receivers keep the claim with the highest epoch, so a new one is sent again.
         Timestamp lastSent;
         std::uint32_t repeats = 0; // Sends of the present content.
     };
 
     void publishIfNeeded(RoutedTarget const &target, ServiceRoutes const &routes,
                          std::vector<std::uint16_t> buckets, Timestamp now);
+    bool hasRepeatsToSend() const; // The mutex is held.
     void adoptPredecessorBuckets(RoutedTarget const &target, std::vector<std::uint16_t> &buckets) const;
 
     Blackboard &blackboard;
--- a/Tests/LibRouting/RoutingCluster.cpp
+++ b/Tests/LibRouting/RoutingCluster.cpp
@@ -110,6 +110,7 @@
     for (auto const &[name, target] : this->targets)
         instance.blackboard.targets.update(target.record.id, [&](auto const &) { return target.record; });
     this->publishMember(index, MemberState::Alive);
+    this->publishOwners();
 }
 
 void RoutingCluster::publishMember(std::size_t index, MemberState state)
@@ -126,15 +127,26 @@
     }
 }
 
+void RoutingCluster::publishOwners()
+{
+    for (auto &[name, target] : this->targets)
+        this->publishTarget(target);
+}
+
 void RoutingCluster::publishTarget(FakeTarget &target)
 {
     ++target.record.sequence.counter;
     std::vector<MemberRecord> members;
     for (std::size_t index = 0; index < this->instances.size(); ++index) {
-        if (this->instances[index] != nullptr && this->instances[index]->isAlive)
+        if (this->instances[index] != nullptr && this->instances[index]->isAlive
+            && this->instances[index]->blackboard.ownStatus.read()->phase == InstancePhase::Serving)
             members.push_back(this->memberOf(index));
     }
-    target.record.sequence.owner = chooseDispatcher(target.record.id, target.record.failureDomain, members);
+    InstanceId const owner = chooseDispatcher(target.record.id, target.record.failureDomain, members);
+    // A new owner writes with a higher epoch.
+    if (owner != target.record.sequence.owner && !target.record.sequence.owner.isNone())
+        ++target.record.sequence.epoch;
+    target.record.sequence.owner = owner;
     for (std::size_t receiver = 0; receiver < this->instances.size(); ++receiver) {
         Timestamp const at = this->now + Duration(static_cast<std::int64_t>(this->random() % 800'000));
         this->delayedUpdates.emplace_back(at, [this, receiver, record = target.record] {
@@ -205,6 +217,7 @@
 {
     this->instances[index]->isAlive = false;
     this->publishMember(index, MemberState::Dead);
+    this->publishOwners();
 }
 
 void RoutingCluster::leaveInstance(std::size_t index)
@@ -214,6 +227,7 @@
         return status;
     });
     this->publishMember(index, MemberState::Leaving);
+    this->publishOwners();
 }
 
 std::size_t RoutingCluster::aliveCount() const
--- a/Tests/LibRouting/RoutingCluster.h
+++ b/Tests/LibRouting/RoutingCluster.h
@@ -98,6 +98,7 @@
     MemberRecord memberOf(std::size_t index) const;
     void publishMember(std::size_t index, MemberState state);
     void publishTarget(FakeTarget &target);
+    void publishOwners(); // Each target's dispatcher publishes its record, after a change of the members.
     void deliver(Envelope const &envelope);
     void handleForwarded(std::size_t receiver, Forwarded const &forwarded);
     void handleAtTarget(std::size_t sender, Endpoint endpoint, TargetCommand const &command);
