--- a/Services/almondwingd/ControlNode.cpp
+++ b/Services/almondwingd/ControlNode.cpp
@@ -101,10 +101,8 @@
 
 void ControlNode::publishStatus()
 {
-    ReplicationStatus const status = this->core->status();
-    this->publishedStatus.update([&](auto const &) { return status; });
-    ReplicationCounters const counters = this->core->counters();
-    this->publishedCounters.update([&](auto const &) { return counters; });
+    this->publishedStatus.update([this](auto const &) { return this->core->status(); });
+    this->publishedCounters.update([this](auto const &) { return this->core->counters(); });
 }
 
 void ControlNode::send(ReplicaEnvelope const &envelope)
--- a/Tests/LibInstance/InstanceCluster.cpp
+++ b/Tests/LibInstance/InstanceCluster.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-InstanceCluster::InstanceCluster(std::uint64_t seed, std::vector<std::string> failureDomains,
+InstanceCluster::InstanceCluster(std::uint64_t seed, std::vector<std::string> const &failureDomains,
                                  std::size_t instancesPerDomain)
     : random(seed)
 {
--- a/Tests/LibInstance/InstanceCluster.h
+++ b/Tests/LibInstance/InstanceCluster.h
@@ -20,7 +20,7 @@
 class InstanceCluster
 {
 public:
-    InstanceCluster(std::uint64_t seed, std::vector<std::string> failureDomains,
+    InstanceCluster(std::uint64_t seed, std::vector<std::string> const &failureDomains,
                     std::size_t instancesPerDomain);
 
     void addTarget(std::string const &name, std::string const &failureDomain);
--- a/Tests/LibRouting/RoutingCluster.cpp
+++ b/Tests/LibRouting/RoutingCluster.cpp
@@ -36,7 +36,7 @@
 {
 }
 
-RoutingCluster::RoutingCluster(std::uint64_t seed, std::vector<std::string> domains,
+RoutingCluster::RoutingCluster(std::uint64_t seed, std::vector<std::string> const &domains,
                                std::size_t instancesPerDomain)
     : random(seed)
 {
@@ -107,8 +107,10 @@
             instance.blackboard.members.update(this->memberOf(other).id,
                                                [&](auto const &) { return this->memberOf(other); });
     }
-    for (auto const &[name, target] : this->targets)
-        instance.blackboard.targets.update(target.record.id, [&](auto const &) { return target.record; });
+    for (auto const &entry : this->targets) {
+        TargetRecord const &record = entry.second.record;
+        instance.blackboard.targets.update(record.id, [&](auto const &) { return record; });
+    }
     this->publishMember(index, MemberState::Alive);
     this->publishOwners();
 }
--- a/Tests/LibRouting/RoutingCluster.h
+++ b/Tests/LibRouting/RoutingCluster.h
@@ -39,7 +39,8 @@
 class RoutingCluster
 {
 public:
-    RoutingCluster(std::uint64_t seed, std::vector<std::string> domains, std::size_t instancesPerDomain);
+    RoutingCluster(std::uint64_t seed, std::vector<std::string> const &domains,
+                   std::size_t instancesPerDomain);
 
     // Targets and the membership as every living instance is told, after at most a second.
     void addTarget(std::string const &name, std::string const &domain,
