--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -111,8 +111,8 @@
             ClaimUpdate next = isOlder ? *current : update;
             next.buckets.insert(next.buckets.end(), update.buckets.begin(), update.buckets.end());
             std::ranges::sort(next.buckets);
-            auto const repeated = std::ranges::unique(next.buckets);
-            next.buckets.erase(repeated.begin(), repeated.end());
+            auto const repeated = std::unique(next.buckets.begin(), next.buckets.end());
+            next.buckets.erase(repeated, next.buckets.end());
             return next;
         });
 }
