Routing: Let a new dispatcher inherit claims before it publishes its own

Cause: restartedInstancesLearnTheClaims was red (flow 12, unknown-flow). A dispatcher that came back after a restart published a claim with the few flows it knew; its newer epoch made all others drop the fuller claim of the dispatcher before it, and the other flows were nowhere to be found. Ruled out: the resend to a new incarnation and the search past a target that disclaims a flow, which both worked in the trace. Change: a dispatcher with partial knowledge publishes nothing for 2 s; the former one passes on its claims three times.

--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -21,6 +21,12 @@
 constexpr std::array<Duration, 2> repeatDelays{200ms, 1s};
 constexpr Duration refreshInterval = 60s;
 
+// Claims of a target that this instance has given up are sent to the next dispatcher this often.
+constexpr std::uint32_t passOnCount = 3;
+
+// The former dispatcher learns of the new one within a second, and then passes on its claims.
+constexpr Duration inheritancePeriod = 2s;
+
 using BucketsByTarget = std::unordered_map<TargetId, std::set<std::uint16_t>>;
 
 bool isForeignBucket(ServiceRoutes const &routes, std::uint16_t bucket, TargetId target)
@@ -117,32 +123,55 @@
         });
 }
 
-// A successor that was restarted has not heard what was claimed for the target before.
+// Notes which targets this instance dispatches for now, and sends the claims of those that it has given up to
+// their next dispatchers. One that was restarted has not heard what was claimed before.
 void ClaimController::passOnClaims(RoutingView const &view, InstanceId self)
 {
-    std::vector<TargetId> former;
+    std::vector<std::pair<InstanceId, TargetId>> receivers;
     {
         std::scoped_lock const lock(this->mutex);
-        for (auto const &[target, claim] : this->published) {
+        for (auto const &[target, service] : view.serviceOfTarget) {
             RoutedTarget const *const routed = view.findTarget(target);
-            if (routed == nullptr || (routed->dispatcher != self && !routed->dispatcher.isNone()))
-                former.push_back(target);
+            if (routed->dispatcher == self)
+                this->passOnsLeft.insert_or_assign(target, passOnCount);
+        }
+        for (auto entry = this->passOnsLeft.begin(); entry != this->passOnsLeft.end();) {
+            RoutedTarget const *const routed = view.findTarget(entry->first);
+            bool const isGivenUp =
+                routed != nullptr && routed->dispatcher != self && !routed->dispatcher.isNone();
+            if (isGivenUp) {
+                this->published.erase(entry->first);
+                receivers.emplace_back(routed->dispatcher, entry->first);
+                --entry->second;
+            }
+            bool const isDone = routed == nullptr || entry->second == 0;
+            entry = isDone ? this->passOnsLeft.erase(entry) : std::next(entry);
         }
-        for (TargetId const target : former)
-            this->published.erase(target);
     }
-    for (TargetId const target : former) {
-        RoutedTarget const *const routed = view.findTarget(target);
-        auto const claim = this->blackboard.claims.read(target);
-        if (routed != nullptr && claim)
-            this->outbox.sendToInstance(routed->dispatcher, claim->value);
+    for (auto const &[receiver, target] : receivers) {
+        if (auto const claim = this->blackboard.claims.read(target))
+            this->outbox.sendToInstance(receiver, claim->value);
     }
 }
 
-bool ClaimController::hasRepeatsToSend() const
+// Whether this instance may still lack the claims of the dispatcher before it. What it published would take
+// the place of the fuller claim that others hold.
+bool ClaimController::isInheriting(TargetId target, Timestamp now) const
 {
-    return std::ranges::any_of(this->published,
-                               [](auto const &entry) { return entry.second.repeats <= repeatDelays.size(); });
+    auto const knowledge = this->blackboard.knowledge.read(target);
+    if (!knowledge)
+        return true;
+    return knowledge->value.state == KnowledgeState::Partial
+        && now - knowledge->value.since < inheritancePeriod;
+}
+
+bool ClaimController::isBusy() const
+{
+    bool const hasRepeats = std::ranges::any_of(
+        this->published, [](auto const &entry) { return entry.second.repeats <= repeatDelays.size(); });
+    bool const hasPassOns =
+        std::ranges::any_of(this->passOnsLeft, [](auto const &entry) { return entry.second < passOnCount; });
+    return hasRepeats || hasPassOns || this->hasInheriting;
 }
 
 void ClaimController::tick(Timestamp now)
@@ -152,7 +181,7 @@
     {
         std::scoped_lock const lock(this->mutex);
         bool const isUnchanged =
-            view == this->lastView && exceptions == this->lastExceptions && !this->hasRepeatsToSend();
+            view == this->lastView && exceptions == this->lastExceptions && !this->isBusy();
         Duration const interval = isUnchanged ? idleRecomputeInterval : changeRecomputeInterval;
         if (this->lastView != nullptr && now - this->lastComputed < interval)
             return;
@@ -162,6 +191,7 @@
     }
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
     this->passOnClaims(*view, self);
+    bool hasInheritingTarget = false;
     BucketsByTarget const flowBuckets = foreignFlowBuckets(this->blackboard, *view);
     for (auto const &[id, routes] : view->services) {
         for (RoutedTarget const &target : routes->targets) {
@@ -170,6 +200,10 @@
             // one.
             if (target.dispatcher != self || target.record.sequence.owner != self)
                 continue;
+            if (this->isInheriting(target.record.id, now)) {
+                hasInheritingTarget = true;
+                continue;
+            }
             std::set<std::uint16_t> buckets;
             if (auto const found = flowBuckets.find(target.record.id); found != flowBuckets.end())
                 buckets = found->second;
@@ -180,6 +214,8 @@
             this->publishIfNeeded(target, *routes, {buckets.begin(), buckets.end()}, now);
         }
     }
+    std::scoped_lock const lock(this->mutex);
+    this->hasInheriting = hasInheritingTarget;
 }
 
 // A dispatcher that took over from a dead one does not know all its flows, so it keeps claiming what was
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -59,7 +59,8 @@
     void publishIfNeeded(RoutedTarget const &target, ServiceRoutes const &routes,
                          std::vector<std::uint16_t> buckets, Timestamp now);
     void passOnClaims(RoutingView const &view, InstanceId self);
-    bool hasRepeatsToSend() const; // The mutex is held.
+    bool isInheriting(TargetId target, Timestamp now) const;
+    bool isBusy() const; // Whether a look is due soon. The mutex is held.
     void adoptPredecessorBuckets(RoutedTarget const &target, std::vector<std::uint16_t> &buckets) const;
 
     Blackboard &blackboard;
@@ -71,6 +72,9 @@
     Timestamp lastComputed;
     std::uint64_t counter = 0;
     std::unordered_map<TargetId, Published> published;
+    std::unordered_map<TargetId, std::uint32_t>
+        passOnsLeft; // Of targets dispatched here now or a short time ago.
+    bool hasInheriting = false; // A claim waits for what the former dispatcher knows.
 };
 
 } // namespace almondwing
