--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -2,6 +2,8 @@
 
 #include <LibRouting/ClaimController.h>
 
+#include <LibRouting/RouteChoice.h>
+
 #include <algorithm>
 #include <set>
 #include <unordered_set>
@@ -41,7 +43,7 @@
     BucketsByTarget result;
     blackboard.flows.forEach([&](FlowKey const &key, FlowRecord const &record) {
         ServiceRoutes const *const routes = view.findService(key.service);
-        std::uint16_t const bucket = bucketOf(std::hash<FlowKey>{}(key));
+        std::uint16_t const bucket = bucketOfFlow(key);
         if (routes != nullptr && isForeignBucket(*routes, bucket, record.target))
             result[record.target].insert(bucket);
     });
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -56,6 +56,9 @@
 // packet of an unknown flow is dropped without an answer in this time; the caller sends again.
 constexpr Duration searchGrace = 2s;
 
+// A search counts its hops from here, so that a dispatcher sees whether it is the first candidate.
+constexpr std::uint8_t searchBaseHops = 8;
+
 // Callers of refused flows should come back after this time.
 constexpr Duration refusedRetryAfter = 1s;
 
--- a/Libraries/LibRouting/HandoverController.cpp
+++ b/Libraries/LibRouting/HandoverController.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/HandoverController.h>
 
 #include <LibRouting/ConnectionCount.h>
+#include <LibRouting/RouteChoice.h>
 #include <LibState/Rendezvous.h>
 
 #include <map>
@@ -19,7 +20,7 @@
     ServiceRoutes const *const routes = view.findService(key.service);
     if (routes == nullptr)
         return false;
-    RoutedTarget const *const owner = routes->targetOfBucket(bucketOf(std::hash<FlowKey>{}(key)));
+    RoutedTarget const *const owner = routes->targetOfBucket(bucketOfFlow(key));
     return owner == nullptr || owner->record.id != target;
 }
 
--- a/Libraries/LibRouting/RouteChoice.h
+++ b/Libraries/LibRouting/RouteChoice.h
@@ -37,6 +37,11 @@
     friend bool operator==(MessageKey const &, MessageKey const &) = default;
 };
 
+inline std::uint16_t bucketOfFlow(FlowKey const &key)
+{
+    return bucketOf(std::hash<FlowKey>{}(key));
+}
+
 // The service and the hash that selects the bucket of a message.
 MessageKey keyOf(CallerMessage const &message);
 
