Requests: Start only work that can be answered before its deadline

Cause: under three times the load of a target, requests were started just before their deadline, held a slot until it passed and ended unanswered. In Deployment.ColdTargetTest 10 of 28 runs of a restarted target were answered in 60 s, so its ramp did not climb.

Change: a request is refused when its expected wait and its own service time together exceed its time left, and a waiting request is not started when the time left is shorter than the service time. An idle target is exempt, so that a service time that was measured too long is corrected. The unit test that expected a request with just its waiting time left to be queued now expects the stricter bound.

--- a/Libraries/LibRequests/QueuePolicy.cpp
+++ b/Libraries/LibRequests/QueuePolicy.cpp
@@ -91,7 +91,11 @@
     Duration const wait = expectedWait(requestClass, queue, usage, limits, now);
     if (queue.waiting[indexOf(requestClass)].size() >= settings.queueBound)
         return {.place = QueuePlace::QueueFull, .wait = wait};
-    if (wait > timeLeft)
+    // A request that could only start would hold a slot until its deadline and give no answer. On an idle
+    // target it runs all the same, so that a service time that was measured too long is corrected.
+    bool const isIdle = wait == Duration::zero() && usage.busySlots == 0;
+    Duration const needed = isIdle ? Duration::zero() : wait + queue.serviceTime[indexOf(requestClass)];
+    if (needed > timeLeft)
         return {.place = QueuePlace::DeadlineTooShort, .wait = wait};
     return {.place = QueuePlace::Reserved, .wait = wait};
 }
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -55,7 +55,16 @@
     if (!record || record->phase != RequestPhase::Queued || record->target != target
         || record->notBefore > now || record->deadline <= now)
         return false;
-    return this->isStillOurs(*record, now);
+    return this->hasTimeToRun(*record, now) && this->isStillOurs(*record, now);
+}
+
+// Work that waited too long would take a slot until its deadline without an answer. An idle target may try
+// it, see decidePlace.
+bool TryRunner::hasTimeToRun(RequestRecord const &record, Timestamp now) const
+{
+    RequestQueue const queue = this->store.queue(record.target);
+    Duration const needed = queue.serviceTime[static_cast<std::size_t>(record.requestClass)];
+    return queue.active.empty() || record.deadline - now >= needed;
 }
 
 bool TryRunner::isStillOurs(RequestRecord const &record, Timestamp now) const
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -39,6 +39,9 @@
     // Why no request may start at the target now, or None.
     Reason obstacle(TargetId target) const;
 
+    // Whether the target can be expected to answer before the deadline.
+    bool hasTimeToRun(RequestRecord const &record, Timestamp now) const;
+
     // Whether a waiting request may still be started here although another instance has become dispatcher.
     bool isStillOurs(RequestRecord const &record, Timestamp now) const;
 
--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -119,9 +119,14 @@
         auto const place = [&](RequestClass requestClass, Duration timeLeft) {
             return decidePlace(requestClass, timeLeft, queue, busy(1), limits, settings, now);
         };
-        CPPUNIT_ASSERT(place(RequestClass::Urgent, 250ms)
+        // 250 ms of waiting and 100 ms of its own.
+        CPPUNIT_ASSERT(place(RequestClass::Urgent, 350ms)
                        == (PlaceDecision{.place = QueuePlace::Reserved, .wait = 250ms}));
-        CPPUNIT_ASSERT(place(RequestClass::Urgent, 249ms).place == QueuePlace::DeadlineTooShort);
+        CPPUNIT_ASSERT(place(RequestClass::Urgent, 349ms).place == QueuePlace::DeadlineTooShort);
+        // An idle target corrects a service time that was measured too long.
+        RequestQueue const idle = withServiceTime(RequestQueue{}, RequestClass::Urgent, 1h, now);
+        CPPUNIT_ASSERT(decidePlace(RequestClass::Urgent, 1s, idle, busy(0), limits, settings, now).place
+                       == QueuePlace::Reserved);
         CPPUNIT_ASSERT(place(RequestClass::Bulk, 249ms).place == QueuePlace::DeadlineTooShort);
         for (std::uint64_t number = 3; number <= settings.queueBound; ++number)
             queue = withWaiting(queue, keyOf(number), RequestClass::Urgent, now);
