Routing: Forget the completeness of a target that was dispatched elsewhere

Cause: an instance that got the first announcement of a target keeps a mark that it knows all flows of it. The mark stayed when another instance dispatched the target for a time and opened flows. After the return the first one answered "unknown flow" instead of searching.

Change: the mark is removed as soon as the instance no longer dispatches the target.

--- a/Libraries/LibRouting/FlowSweeper.cpp
+++ b/Libraries/LibRouting/FlowSweeper.cpp
@@ -107,7 +107,9 @@
     for (auto const &[id, routes] : view->services) {
         for (RoutedTarget const &target : routes->targets) {
             if (target.dispatcher != self) {
+                // Flows may now be opened elsewhere, so a later return begins with partial knowledge.
                 this->blackboard.knowledge.remove(target.record.id);
+                this->blackboard.createdTargets.remove(target.record.id);
                 continue;
             }
             this->blackboard.knowledge.update(
--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -31,7 +31,8 @@
 {
     ShardedTable<InstanceId, MemberRecord, 8> members; // Writer: membership.
     ShardedTable<TargetId, TargetRecord, 16> targets; // Writers: targets (own ones), membership (others').
-    // Start marks of targets whose first announcement reached this process. Writer: targets.
+    // Start marks of targets that were first announced here and have had no other dispatcher since.
+    // Writers: targets (adds), flow knowledge (removes).
     ShardedTable<TargetId, std::uint64_t, 16> createdTargets;
     ShardedTable<InstanceId, PendingUpdate, 8> memberUpdates; // Writer: membership.
     ShardedTable<TargetId, PendingUpdate, 16> targetUpdates; // Writers: targets (adds), membership (spreads).
--- a/Tests/LibRouting/FlowMovesTest.cpp
+++ b/Tests/LibRouting/FlowMovesTest.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(copiedExceptionsSurviveTheLossOfADispatcher);
     CPPUNIT_TEST(packetsStayWithinTheirService);
     CPPUNIT_TEST(restartedInstancesLearnTheClaims);
+    CPPUNIT_TEST(flowsOfATemporaryDispatcherSurvive);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a cab feed that breaks when targets drain, join or ramp, or when instances leave.
@@ -236,6 +237,33 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Guards against an instance that got the first announcement of a target, gave the target up for a time,
+    // and then believes that it knows all flows.
+    void flowsOfATemporaryDispatcherSurvive()
+    {
+        bool const holds = rc::check([] {
+            RoutingCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), {"zvolen"}, 2);
+            std::size_t const temporary = *rc::gen::inRange<std::size_t>(0, 2);
+            cluster.killInstance(temporary);
+            cluster.advance(3s);
+            for (std::size_t index = 0; index < targetCount; ++index)
+                cluster.addTarget(targetName(index), "zvolen");
+            cluster.advance(3s);
+            cluster.startInstance(temporary);
+            cluster.advance(15s);
+            for (std::uint64_t flow = 1; flow <= flowCount; ++flow)
+                cluster.openFlow(flow);
+            cluster.advance(1s);
+            RC_ASSERT(cluster.established.size() == flowCount);
+            cluster.killInstance(temporary);
+            cluster.advance(15s); // No packet until the grace time is over.
+            sendFor(cluster, 5);
+            expectNoBrokenFlows(cluster);
+            expectAllFlowsAnswer(cluster);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
     // Guards against a packet that reaches a target of another service while tables change and dispatchers
     // die.
     void packetsStayWithinTheirService()
