Instance: Forget which flows are complete after a pause of the process

Cause: membership raises the incarnation of an instance that was paused, but nothing told the flow knowledge, so the instance could still take its records as complete although a successor had opened flows meanwhile.

Change: a tick that sees a raised incarnation calls forgetKnowledge(), which had no caller before.

Conclusion: a paused instance searches again before it calls a flow unknown.

--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -99,6 +99,7 @@
         this->targets.tick(now);
     this->routing.refresh(now);
     this->sweeper.refreshKnowledge(now);
+    this->forgetAfterPause();
     this->handleOwnershipChanges(now);
     this->claims.tick(now);
     this->handover.tick(now);
@@ -125,6 +126,16 @@
     return true;
 }
 
+// Membership raises the incarnation when it finds that the process was paused. A successor may have opened
+// flows meanwhile.
+void Instance::forgetAfterPause()
+{
+    std::uint64_t const incarnation = this->blackboard.ownStatus.read()->self.incarnation;
+    std::uint64_t const before = this->knownIncarnation.exchange(incarnation);
+    if (before != 0 && before != incarnation)
+        this->sweeper.forgetKnowledge();
+}
+
 void Instance::handleOwnershipChanges(Timestamp now)
 {
     for (TargetId const target : this->targets.takenOver())
--- a/Libraries/LibInstance/Instance.h
+++ b/Libraries/LibInstance/Instance.h
@@ -17,6 +17,7 @@
 #include <LibTargets/TargetController.h>
 
 #include <atomic>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -80,6 +81,7 @@
 private:
     void handleOwnershipChanges(Timestamp now);
     bool isTargetTickDue(Timestamp now);
+    void forgetAfterPause();
 
     Blackboard blackboard;
     MembershipController membership;
@@ -92,6 +94,7 @@
     HandoverController handover;
     ConfigurationKeeper configurationKeeper;
     CallerRouter router;
+    std::atomic<std::uint64_t> knownIncarnation{0}; // 0 before the first tick.
     std::atomic<Duration::rep> lastTargetTick{0}; // Microseconds of the steady clock.
     std::atomic<Duration::rep> stopBegun{0}; // Microseconds of the steady clock; 0 before a stop.
     std::atomic<Duration::rep> idleSince{0}; // The same; 0 while there is work.
