almondwingd: Look for a leader before a change is refused

A change sent while a leader was being elected was refused at once (exit code 4, "no leader is known"), and a change that was passed to a frozen control instance ended as unknown (exit code 5) although two others could take it. A connection lost after the request was sent was reported as "could not be reached", which reads as "nothing was changed" and may be false.

Change: the instance that the operator asked tries again for 5 s, longer than the longest election of 4 s. After a timeout it goes on to the next control instance, which is harmless with the same request id; the last answer is then "unknown". Live control instances come first. HttpClient tells apart a server that was not reached, one that timed out and a lost connection. continuedLeaderRevertsNothing read the configuration of another instance right after acceptance, before it was in force there; it now waits for version 2 first and compares the same bytes. New tests: a change during an election is accepted, and one without a majority is refused with exit code 4 and changes nothing.

Conclusion: a refusal now means that no majority was there for longer than an election takes.

--- a/Libraries/LibFrontEnd/HttpClient.cpp
+++ b/Libraries/LibFrontEnd/HttpClient.cpp
@@ -35,8 +35,10 @@
                                    [self = this->shared_from_this()](beast::error_code error) {
                                        if (error)
                                            self->fail(error);
-                                       else
+                                       else {
+                                           self->isConnected = true;
                                            self->write();
+                                       }
                                    });
     }
 
@@ -86,11 +88,16 @@
     {
         std::string const text = fmt::format("HTTP call to {}{}: {}", this->call.server.toString(),
                                              this->call.target, error.message());
-        this->result(error == beast::error::timeout ? absl::DeadlineExceededError(text)
-                                                    : absl::UnavailableError(text));
+        if (!this->isConnected)
+            this->result(absl::UnavailableError(text));
+        else if (error == beast::error::timeout)
+            this->result(absl::DeadlineExceededError(text));
+        else
+            this->result(absl::AbortedError(text));
     }
 
     beast::tcp_stream stream;
+    bool isConnected = false; // From then on the server may have got the request.
     HttpCall call;
     HttpResult result;
     http::request<http::string_body> request;
--- a/Libraries/LibFrontEnd/HttpClient.h
+++ b/Libraries/LibFrontEnd/HttpClient.h
@@ -27,8 +27,9 @@
 
 using HttpResult = std::function<void(absl::StatusOr<HttpResponse>)>;
 
-// Calls the server over a connection of its own. The result comes on some thread of the runtime:
-// DeadlineExceeded after the timeout, Unavailable when the server can't be reached or closes the connection.
+// Calls the server over a connection of its own. The result comes on some thread of the runtime. Unavailable:
+// the server could not be reached and has not got the request. DeadlineExceeded after the timeout, and
+// Aborted when the connection is lost: the server may have acted on the request.
 void callHttp(IoRuntime &runtime, HttpCall const &call, HttpResult result);
 
 } // namespace almondwing
--- a/Services/almondwingd/ControlApi.cpp
+++ b/Services/almondwingd/ControlApi.cpp
@@ -30,6 +30,8 @@
 
 // A change waits for a majority; an election in between takes up to 4 s.
 constexpr Duration changeTimeout = 8s;
+constexpr Duration leaderWait = 5s;
+constexpr Duration leaderRetryInterval = 250ms;
 constexpr Duration coverageTimeout = 1s;
 constexpr std::size_t defaultAuditLimit = 100;
 
@@ -93,6 +95,11 @@
     return target;
 }
 
+bool isPassedOn(HttpRequest const &request)
+{
+    return !request.parameter(passedOnParameter).empty();
+}
+
 } // namespace
 
 ControlApi::ControlApi(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, Instance &servedInstance,
@@ -161,14 +168,20 @@
         respond(HttpResponse{.body = R"({"accepted":true})"});
 }
 
+// Those that are alive come first, so that a frozen one costs no timeout once membership has noticed it.
 std::vector<Endpoint> ControlApi::otherControlInstances() const
 {
-    std::vector<Endpoint> endpoints;
+    std::vector<Endpoint> alive;
+    std::vector<Endpoint> others;
     for (PeerSettings const &peer : this->settings.peers) {
-        if (peer.role == ControlRole::Control)
-            endpoints.push_back(peer.http);
+        if (peer.role != ControlRole::Control)
+            continue;
+        auto const member = this->instance.state().members.read(InstanceId::fromName(peer.name));
+        bool const isAlive = member && member->value.state == MemberState::Alive;
+        (isAlive ? alive : others).push_back(peer.http);
     }
-    return endpoints;
+    alive.insert(alive.end(), others.begin(), others.end());
+    return alive;
 }
 
 void ControlApi::handleChange(HttpRequest const &request, HttpRespond const &respond)
@@ -188,71 +201,86 @@
     auto &change = std::get<ChangeRequest>(parsed);
     change.operatorName = *operatorName;
     change.submittedAt = std::time(nullptr);
+    this->tryChange(PendingChange{.change = std::move(change),
+                                  .request = request,
+                                  .respond = respond,
+                                  .retryUntil = IoRuntime::now() + leaderWait});
+}
+
+void ControlApi::tryChange(PendingChange const &pending)
+{
     if (this->node != nullptr)
-        this->submitHere(change, request, respond);
+        this->submitHere(pending);
     else
-        this->passOnChange(request, this->otherControlInstances(), respond);
+        this->passOnChange(pending, this->otherControlInstances(), PassOnState::NotDone);
 }
 
-void ControlApi::submitHere(ChangeRequest const &change, HttpRequest const &request,
-                            HttpRespond const &respond)
+void ControlApi::submitHere(PendingChange const &pending)
 {
-    this->node->submit(change, [this, request, respond](absl::StatusOr<ChangeOutcome> const &outcome) {
+    this->node->submit(pending.change, [this, pending](absl::StatusOr<ChangeOutcome> const &outcome) {
         if (outcome.ok()) {
-            respond(outcomeResponse(*outcome));
+            pending.respond(outcomeResponse(*outcome));
             return;
         }
         if (absl::IsUnknown(outcome.status())) {
-            respond(errorResponse(statusGatewayTimeout, std::string(outcome.status().message())));
+            pending.respond(errorResponse(statusGatewayTimeout, std::string(outcome.status().message())));
             return;
         }
         auto const leader = this->node->status().leader;
         auto const peer = std::ranges::find_if(this->settings.peers, [&](PeerSettings const &candidate) {
             return leader && candidate.name == leader->instance;
         });
-        bool const mayPassOn =
-            peer != this->settings.peers.end() && request.parameter(passedOnParameter).empty();
+        bool const mayPassOn = peer != this->settings.peers.end() && !isPassedOn(pending.request);
         if (mayPassOn)
-            this->passOnChange(request, {peer->http}, respond);
+            this->passOnChange(pending, {peer->http}, PassOnState::NotDone);
         else
-            respond(errorResponse(
-                statusUnavailable,
-                fmt::format("nothing was changed: {}", std::string(outcome.status().message()))));
+            this->retryOrRefuse(pending, std::string(outcome.status().message()));
     });
 }
 
-// Tries the servers one after the other. Only a server that could not be reached is passed over: after a
-// timeout the change may be under way, and the same request id makes a second try harmless but not the answer
-// "not done" true.
-void ControlApi::passOnChange(HttpRequest const &request, std::vector<Endpoint> servers,
-                              HttpRespond const &respond)
+// Tries the servers one after the other. The request id makes a second try harmless: the log gives it the
+// outcome of the first. After a timeout "nothing was changed" is no longer certain, so the last answer says
+// unknown.
+void ControlApi::passOnChange(PendingChange const &pending, std::vector<Endpoint> servers, PassOnState state)
 {
     if (servers.empty()) {
-        respond(
-            errorResponse(statusUnavailable,
-                          "no control instance could take the change; nothing was changed by this instance"));
+        if (state == PassOnState::NotDone)
+            this->retryOrRefuse(pending, "no control instance could take the change");
+        else
+            pending.respond(errorResponse(
+                statusGatewayTimeout,
+                "a control instance did not answer in time and no other could take the change, so the "
+                "outcome is not known; resend the change with the same request id"));
         return;
     }
     Endpoint const server = servers.front();
     servers.erase(servers.begin());
     HttpCall const call{.server = server,
                         .method = HttpMethod::Post,
-                        .target = this->node == nullptr ? request.path : passedOnTarget(request),
-                        .body = request.body,
-                        .bearerToken = request.bearerToken,
+                        .target = passedOnTarget(pending.request),
+                        .body = pending.request.body,
+                        .bearerToken = pending.request.bearerToken,
                         .timeout = changeTimeout};
-    callHttp(
-        this->runtime, call,
-        [this, request, rest = std::move(servers), respond](absl::StatusOr<HttpResponse> const &response) {
-            if (absl::IsDeadlineExceeded(response.status()))
-                respond(errorResponse(statusGatewayTimeout,
-                                      "the control instance did not answer in time, so the outcome is not "
-                                      "known; resend the change with the same request id"));
-            else if (!response.ok() || response->status == statusUnavailable)
-                this->passOnChange(request, rest, respond);
-            else
-                respond(*response);
-        });
+    callHttp(this->runtime, call,
+             [this, pending, rest = std::move(servers), state](absl::StatusOr<HttpResponse> const &response) {
+                 bool const isRefused = response.ok() && response->status == statusUnavailable;
+                 // A connection that could not be made, and a refusal, leave nothing under way.
+                 bool const isCertain = isRefused || absl::IsUnavailable(response.status());
+                 if (response.ok() && !isRefused && response->status != statusGatewayTimeout)
+                     pending.respond(*response);
+                 else
+                     this->passOnChange(pending, rest, isCertain ? state : PassOnState::MayBeUnderWay);
+             });
+}
+
+// An election is no reason to refuse, so the instance that the operator asked tries again until one must be
+// over. Instances that got the change passed on leave this to the first one.
+void ControlApi::retryOrRefuse(PendingChange const &pending, std::string const &reason)
+{
+    if (!isPassedOn(pending.request) && IoRuntime::now() + leaderRetryInterval < pending.retryUntil)
+        this->runtime.runAfter(leaderRetryInterval, [this, pending] { this->tryChange(pending); });
+    else
+        pending.respond(errorResponse(statusUnavailable, fmt::format("nothing was changed: {}", reason)));
 }
 
 HttpResponse ControlApi::explain(HttpRequest const &request) const
--- a/Services/almondwingd/ControlApi.h
+++ b/Services/almondwingd/ControlApi.h
@@ -13,6 +13,7 @@
 #include <LibSettings/DaemonSettings.h>
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace almondwing {
@@ -27,10 +28,23 @@
     void handle(HttpRequest const &request, HttpRespond const &respond);
 
 private:
+    struct PendingChange
+    {
+        ChangeRequest change;
+        HttpRequest request;
+        HttpRespond respond;
+        Timestamp retryUntil;
+    };
+
+    // Whether an earlier server may have the change under way.
+    enum class PassOnState { NotDone, MayBeUnderWay };
+
     void handleAnnouncement(HttpRequest const &request, HttpRespond const &respond);
     void handleChange(HttpRequest const &request, HttpRespond const &respond);
-    void submitHere(ChangeRequest const &change, HttpRequest const &request, HttpRespond const &respond);
-    void passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, HttpRespond const &respond);
+    void tryChange(PendingChange const &pending);
+    void submitHere(PendingChange const &pending);
+    void passOnChange(PendingChange const &pending, std::vector<Endpoint> servers, PassOnState state);
+    void retryOrRefuse(PendingChange const &pending, std::string const &reason);
     void handleCoverage(HttpRequest const &request, HttpRespond const &respond);
     void handleAudit(HttpRequest const &request, HttpRespond const &respond);
     void passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers,
--- a/Tests/Deployment/OperatorTest.cpp
+++ b/Tests/Deployment/OperatorTest.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int exitConflict = 3;
+constexpr int exitUnreachable = 4;
 constexpr int exitUnauthorized = 7;
 
 // The longest election timeout is 4 s; twice that is surely longer.
@@ -26,9 +27,10 @@
     return answer.is_object() ? answer.at("configurationVersion").get<std::uint64_t>() : 0;
 }
 
-void expectVersionEverywhere(Deployment const &deployment, std::uint64_t version)
+void expectVersionAt(Deployment const &deployment, std::vector<InstancePlan> const &plans,
+                     std::uint64_t version)
 {
-    for (InstancePlan const &plan : deployment.instances()) {
+    for (InstancePlan const &plan : plans) {
         bool const isInForce = waitUntil([&] { return versionAt(deployment, plan) == version; });
         CPPUNIT_ASSERT_MESSAGE(
             fmt::format("{} has version {} instead of {}", plan.name, versionAt(deployment, plan), version),
@@ -36,6 +38,11 @@
     }
 }
 
+void expectVersionEverywhere(Deployment const &deployment, std::uint64_t version)
+{
+    expectVersionAt(deployment, deployment.instances(), version);
+}
+
 std::uint64_t acceptedVersion(CommandResult const &result)
 {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(result.output + result.errors, 0, result.exitCode);
@@ -66,6 +73,8 @@
     CPPUNIT_TEST(resentChangeGetsTheFirstAnswer);
     CPPUNIT_TEST(restartOfAllKeepsTheVersion);
     CPPUNIT_TEST(continuedLeaderRevertsNothing);
+    CPPUNIT_TEST(changeDuringAnElectionIsAccepted);
+    CPPUNIT_TEST(changeWithoutMajorityIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against changes by anyone who reaches an instance.
@@ -145,6 +154,8 @@
             return changed.exitCode == 0;
         });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, acceptedVersion(changed));
+        // An accepted change comes into force within seconds, not at once.
+        expectVersionAt(deployment, others, 2);
         std::string const before = deployment.get(others.front().http, "/v1/configuration");
         deployment.process(paused.name).signal(SIGCONT);
         expectVersionEverywhere(deployment, 2);
@@ -157,6 +168,40 @@
         for (std::string const target : {"desk-2", "desk-3"})
             CPPUNIT_ASSERT_MESSAGE(after, after.find(target) != std::string::npos);
     }
+
+    // Guards against an operator who is refused because the leader has just been lost.
+    void changeDuringAnElectionIsAccepted()
+    {
+        Deployment deployment;
+        InstancePlan const lost = leaderOf(deployment);
+        std::vector<InstancePlan> others = deployment.instances();
+        std::erase(others, lost);
+        deployment.process(lost.name).kill();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                             acceptedVersion(deployment.controlAt(others, {"drain", "desk-2"})));
+    }
+
+    // Guards against a change that is acknowledged, or refused as "nothing was changed", wrongly while most
+    // of the disks are lost.
+    void changeWithoutMajorityIsRefused()
+    {
+        Deployment deployment;
+        InstancePlan const leader = leaderOf(deployment);
+        std::vector<InstancePlan> others;
+        bool isFirstFollower = true;
+        for (InstancePlan const &plan : deployment.instances()) {
+            bool const isKilled = plan == leader || (plan.isControl && isFirstFollower);
+            isFirstFollower = isFirstFollower && (plan == leader || !plan.isControl);
+            if (isKilled)
+                deployment.process(plan.name).kill();
+            else
+                others.push_back(plan);
+        }
+        CommandResult const refused = deployment.controlAt(others, {"drain", "desk-2"});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.output + refused.errors, exitUnreachable, refused.exitCode);
+        for (InstancePlan const &plan : others)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, versionAt(deployment, plan));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OperatorTest);
--- a/Utilities/almondwingctl/ChangeCommand.cpp
+++ b/Utilities/almondwingctl/ChangeCommand.cpp
@@ -103,7 +103,7 @@
 ExitCode showFailure(std::string const &requestId, absl::StatusOr<HttpResponse> const &response)
 {
     if (!response.ok()) {
-        bool const isUnknown = absl::IsDeadlineExceeded(response.status());
+        bool const isUnknown = !absl::IsUnavailable(response.status());
         fmt::print(stderr, "almondwingctl: {}; {}\n", std::string(response.status().message()),
                    isUnknown ? fmt::format("the outcome is not known, resend with --request-id {}", requestId)
                              : std::string("nothing was changed"));
--- a/Utilities/almondwingctl/ServerCall.cpp
+++ b/Utilities/almondwingctl/ServerCall.cpp
@@ -18,7 +18,7 @@
             runtime.stop();
         });
         runtime.run(1);
-        if (result.ok() || absl::IsDeadlineExceeded(result.status()))
+        if (!absl::IsUnavailable(result.status()))
             return result;
     }
     return result;
--- a/Utilities/almondwingctl/ServerCall.h
+++ b/Utilities/almondwingctl/ServerCall.h
@@ -20,8 +20,8 @@
     bool isJsonOutput = false;
 };
 
-// Tries the servers in order until one answers. A server that was reached but did not answer in time ends the
-// tries with DeadlineExceeded, because it may have done what was asked.
+// Tries the servers in order until one answers. A server that was reached and gave no answer ends the tries,
+// because it may have done what was asked.
 absl::StatusOr<HttpResponse> callServers(ClientOptions const &options, HttpCall call);
 
 } // namespace almondwing
