almondwingd: Count refused HTTP requests and stray messages of targets

Change: HttpServer counts answers below 400, refusals, malformed input and connections over the limit, and reports refusals as event InputDropped at its bounded rate. FlowController counts messages of targets that match no flow. All are metrics; InputTest expects the growth.

--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -33,17 +33,39 @@
     return request;
 }
 
+constexpr unsigned firstErrorStatus = 400;
+
+// What the connections of one server share. They may outlive the server.
+struct Shared
+{
+    HttpServerHooks hooks;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> malformed{0};
+    std::atomic<std::uint64_t> connectionsRefused{0};
+};
+
+// A client that closes its connection, or is cut off, has sent nothing malformed.
+bool isMalformed(beast::error_code error)
+{
+    return error.category() == beast::error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream;
+}
+
 // One connection. All its handlers run on the strand of its stream.
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(tcp::socket socket, HttpHandler const &requestHandler,
-            std::shared_ptr<std::atomic<std::size_t>> count)
-        : stream(std::move(socket)), handler(requestHandler), connectionCount(std::move(count))
+    Session(tcp::socket socket, std::shared_ptr<Shared> sharedState)
+        : stream(std::move(socket)), shared(std::move(sharedState))
     {
+        boost::system::error_code ignored;
+        auto const remote = this->stream.socket().remote_endpoint(ignored);
+        this->client = ignored ? std::string("a closed connection") : fromAsio(remote).toString();
     }
 
-    ~Session() { this->connectionCount->fetch_sub(1); }
+    ~Session() { this->shared->connections.fetch_sub(1); }
     Session(Session const &) = delete;
     Session &operator=(Session const &) = delete;
 
@@ -59,10 +81,37 @@
                     self->handle();
                 else if (error == http::error::body_limit)
                     self->write(HttpResponse{.status = 413, .body = "{\"error\":\"the body is too large\"}"});
+                else if (isMalformed(error))
+                    self->reportMalformed(error);
             });
     }
 
 private:
+    void reportMalformed(beast::error_code error)
+    {
+        this->shared->malformed.fetch_add(1, std::memory_order_relaxed);
+        this->reportRefusal(fmt::format("input from {}: {}", this->client, error.message()));
+    }
+
+    void reportRefusal(std::string const &text)
+    {
+        if (this->shared->hooks.reportRefusal)
+            this->shared->hooks.reportRefusal(text);
+    }
+
+    void count(HttpResponse const &response)
+    {
+        if (response.status < firstErrorStatus) {
+            this->shared->answered.fetch_add(1, std::memory_order_relaxed);
+            return;
+        }
+        this->shared->refused.fetch_add(1, std::memory_order_relaxed);
+        auto const target = this->parser->get().target();
+        this->reportRefusal(fmt::format("{} from {}: status {}, {}",
+                                        std::string_view(target.data(), target.size()), this->client,
+                                        response.status, response.body));
+    }
+
     void handle()
     {
         auto const &received = this->parser->get();
@@ -73,14 +122,16 @@
         }
         // The handler may take its time, for example until a change is committed.
         this->stream.expires_never();
-        this->handler(toRequest(received), [self = this->shared_from_this()](HttpResponse response) {
-            boost::asio::post(self->stream.get_executor(),
-                              [self, response = std::move(response)] { self->write(response); });
-        });
+        this->shared->hooks.handle(
+            toRequest(received), [self = this->shared_from_this()](HttpResponse response) {
+                boost::asio::post(self->stream.get_executor(),
+                                  [self, response = std::move(response)] { self->write(response); });
+            });
     }
 
     void write(HttpResponse const &response)
     {
+        this->count(response);
         this->message.emplace(http::int_to_status(response.status), 11);
         this->message->set(http::field::content_type, response.contentType);
         this->message->body() = response.body;
@@ -95,8 +146,8 @@
     }
 
     beast::tcp_stream stream;
-    HttpHandler handler;
-    std::shared_ptr<std::atomic<std::size_t>> connectionCount;
+    std::shared_ptr<Shared> shared;
+    std::string client;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> message;
@@ -123,26 +174,26 @@
 
     void startSession(tcp::socket socket)
     {
-        if (this->connectionCount->fetch_add(1) >= maximumHttpConnections) {
-            this->connectionCount->fetch_sub(1);
+        if (this->shared->connections.fetch_add(1) >= maximumHttpConnections) {
+            this->shared->connections.fetch_sub(1);
+            this->shared->connectionsRefused.fetch_add(1, std::memory_order_relaxed);
             return;
         }
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        std::make_shared<Session>(std::move(socket), this->handler, this->connectionCount)->read();
+        std::make_shared<Session>(std::move(socket), this->shared)->read();
     }
 
     boost::asio::io_context &context;
     tcp::acceptor acceptor;
-    HttpHandler handler;
-    std::shared_ptr<std::atomic<std::size_t>> connectionCount = std::make_shared<std::atomic<std::size_t>>(0);
+    std::shared_ptr<Shared> shared = std::make_shared<Shared>();
 };
 
 absl::StatusOr<std::shared_ptr<HttpServer>> HttpServer::open(IoRuntime &runtime, Endpoint local,
-                                                             HttpHandler handler)
+                                                             HttpServerHooks hooks)
 {
     auto state = std::make_shared<State>(runtime.context().asio);
-    state->handler = std::move(handler);
+    state->shared->hooks = std::move(hooks);
     beast::error_code error;
     state->acceptor.open(tcp::v4(), error);
     if (!error)
@@ -170,6 +221,15 @@
     return fromAsio(this->state->acceptor.local_endpoint());
 }
 
+HttpServerCounters HttpServer::counters() const
+{
+    Shared const &shared = *this->state->shared;
+    return HttpServerCounters{.answered = shared.answered,
+                              .refused = shared.refused,
+                              .malformed = shared.malformed,
+                              .connectionsRefused = shared.connectionsRefused};
+}
+
 void HttpServer::close()
 {
     auto const keep = this->state;
--- a/Libraries/LibFrontEnd/HttpServer.h
+++ b/Libraries/LibFrontEnd/HttpServer.h
@@ -9,7 +9,10 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace almondwing {
 
@@ -22,17 +25,35 @@
 // Further connections are closed at once, so that a flood can't use up the memory of the process.
 constexpr std::size_t maximumHttpConnections = 512;
 
+struct HttpServerHooks
+{
+    HttpHandler handle;
+    // Called for each answer with a status of 400 or more, and for input that is no HTTP.
+    std::function<void(std::string const &)> reportRefusal;
+};
+
+struct HttpServerCounters
+{
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0; // Answers with a status of 400 or more; not counted in `answered`.
+    std::uint64_t malformed = 0; // Connections that were closed because of input that is no HTTP.
+    std::uint64_t connectionsRefused = 0; // Over maximumHttpConnections.
+
+    friend bool operator==(HttpServerCounters const &, HttpServerCounters const &) = default;
+};
+
 class HttpServer
 {
 public:
     static absl::StatusOr<std::shared_ptr<HttpServer>> open(IoRuntime &runtime, Endpoint local,
-                                                            HttpHandler handler);
+                                                            HttpServerHooks hooks);
 
     ~HttpServer();
     HttpServer(HttpServer const &) = delete;
     HttpServer &operator=(HttpServer const &) = delete;
 
     Endpoint localEndpoint() const;
+    HttpServerCounters counters() const;
     void close();
 
 private:
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -350,14 +350,11 @@
     else
         return;
     auto const known = this->blackboard.flows.read(key);
-    if (!known)
+    if (!known || !this->isEndpointOf(known->value.target, from)) {
+        this->atomicCounters.unmatched.fetch_add(1, std::memory_order_relaxed);
         return;
+    }
     FlowRecord const &record = known->value;
-    auto const view = this->blackboard.routingView.read();
-    RoutedTarget const *const target = view->findTarget(record.target);
-    // Only the target that has the flow may speak for it.
-    if (target == nullptr || target->record.packetEndpoint != from)
-        return;
     if (auto const *const broken = std::get_if<FlowBroken>(&message)) {
         this->handleTargetBroken(key, record, broken->reason, now);
         return;
@@ -376,6 +373,14 @@
         this->outbox.sendToCaller(record.caller, std::get<FlowAccepted>(message));
 }
 
+// Only the target that has a flow may speak for it.
+bool FlowController::isEndpointOf(TargetId id, Endpoint endpoint) const
+{
+    auto const view = this->blackboard.routingView.read();
+    RoutedTarget const *const target = view->findTarget(id);
+    return target != nullptr && target->record.packetEndpoint == endpoint;
+}
+
 void FlowController::noteAnswer(FlowKey const &key, FlowRecord const &record, Timestamp now)
 {
     if (record.state == FlowState::Open && record.unansweredSince == Timestamp{}
@@ -448,7 +453,8 @@
                         .spilled = current.spilled,
                         .broken = current.broken,
                         .closed = current.closed,
-                        .droppedInGrace = current.droppedInGrace};
+                        .droppedInGrace = current.droppedInGrace,
+                        .unmatched = current.unmatched};
 }
 
 } // namespace almondwing
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -45,6 +45,7 @@
     std::uint64_t broken = 0;
     std::uint64_t closed = 0;
     std::uint64_t droppedInGrace = 0;
+    std::uint64_t unmatched = 0; // Messages of targets that belong to no flow that they have here.
 
     friend bool operator==(FlowCounters const &, FlowCounters const &) = default;
 };
@@ -89,6 +90,7 @@
         std::atomic<std::uint64_t> broken = 0;
         std::atomic<std::uint64_t> closed = 0;
         std::atomic<std::uint64_t> droppedInGrace = 0;
+        std::atomic<std::uint64_t> unmatched = 0;
     };
 
     void serveKnown(FlowArrival const &arrival, FlowKey const &key, FlowRecord const &record, Timestamp now);
@@ -106,6 +108,7 @@
     void rejectUnknown(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void breakFlow(FlowKey const &key, FlowRecord const &record, Reason reason);
     void handleTargetBroken(FlowKey const &key, FlowRecord const &record, Reason reason, Timestamp now);
+    bool isEndpointOf(TargetId id, Endpoint endpoint) const;
     void noteAnswer(FlowKey const &key, FlowRecord const &record, Timestamp now);
     void forwardToTarget(FlowMessage const &message, Endpoint target);
 
--- a/Services/almondwingd/Daemon.cpp
+++ b/Services/almondwingd/Daemon.cpp
@@ -86,10 +86,15 @@
             [this] { return sampleReplication(this->node->status(), this->node->counters()); });
     this->api = std::make_unique<ControlApi>(this->runtime, this->settings, *this->instance, this->node,
                                              this->metrics);
-    this->http = TRY(HttpServer::open(this->runtime, this->settings.listen.http,
-                                      [this](HttpRequest const &request, HttpRespond const &respond) {
-                                          this->api->handle(request, respond);
-                                      }));
+    HttpServerHooks hooks{
+        .handle = [this](HttpRequest const &request,
+                         HttpRespond const &respond) { this->api->handle(request, respond); },
+        .reportRefusal =
+            [this](std::string const &text) {
+                this->log.report(Event::InputDropped, "http socket, " + text);
+            }};
+    this->http = TRY(HttpServer::open(this->runtime, this->settings.listen.http, std::move(hooks)));
+    this->metrics.addSource([this] { return sampleHttp(this->http->counters()); });
     this->fetcher = std::make_unique<ConfigurationFetcher>(this->runtime, *this->instance);
     this->poller = std::make_unique<HealthPoller>(this->runtime, *this->instance);
     return absl::OkStatus();
--- a/Services/almondwingd/DaemonMetrics.cpp
+++ b/Services/almondwingd/DaemonMetrics.cpp
@@ -108,6 +108,9 @@
                 router.forwarded),
         counter("almondwing_unknown_service_total", "Messages for a service that is not configured.",
                 router.unknownService),
+        counter("almondwing_target_messages_dropped_total",
+                "Messages of targets for a flow that is not known here or is with another target.",
+                flows.unmatched),
         counter("almondwing_refused_without_lease_total", "Messages dropped because the lease was not held.",
                 router.withoutLease),
         counter("almondwing_membership_messages_total", "Membership messages sent.", membership.messages)};
@@ -129,6 +132,18 @@
     return samples;
 }
 
+std::vector<MetricSample> sampleHttp(HttpServerCounters const &counters)
+{
+    return {counter("almondwing_http_answered_total", "HTTP requests answered with a status below 400.",
+                    counters.answered),
+            counter("almondwing_http_refused_total", "HTTP requests answered with a status of 400 or more.",
+                    counters.refused),
+            counter("almondwing_http_malformed_total", "HTTP connections closed for malformed input.",
+                    counters.malformed),
+            counter("almondwing_http_connections_refused_total",
+                    "HTTP connections closed because too many were open.", counters.connectionsRefused)};
+}
+
 std::vector<MetricSample> sampleEvents(EventLog const &log)
 {
     std::vector<MetricSample> samples;
--- a/Services/almondwingd/DaemonMetrics.h
+++ b/Services/almondwingd/DaemonMetrics.h
@@ -6,6 +6,7 @@
 #include "PacketPort.h"
 
 #include <LibFrontEnd/EventLog.h>
+#include <LibFrontEnd/HttpServer.h>
 #include <LibFrontEnd/Metrics.h>
 #include <LibInstance/Instance.h>
 
@@ -15,6 +16,7 @@
 
 std::vector<MetricSample> sampleInstance(Instance const &instance);
 std::vector<MetricSample> samplePackets(PacketPortCounters const &counters);
+std::vector<MetricSample> sampleHttp(HttpServerCounters const &counters);
 std::vector<MetricSample> sampleEvents(EventLog const &log);
 std::vector<MetricSample> sampleReplication(ReplicationStatus const &status,
                                             ReplicationCounters const &counters);
--- a/Tests/Deployment/InputTest.cpp
+++ b/Tests/Deployment/InputTest.cpp
@@ -104,6 +104,8 @@
             deployment, plan, "almondwing_unknown_service_total", [&] { sendAll(to, {datagram}); }, 1);
     }
 
+    static constexpr double badHttpRequests = 5;
+
     // HTTP that does not parse, a body that is no JSON, and targets of a service or domain not configured.
     static void sendBadHttp(Deployment &deployment, InstancePlan const &plan)
     {
@@ -137,8 +139,13 @@
             sendUnknownService(deployment, plan, plan.entry, encodeForEntry);
             sendUnknownService(deployment, plan, plan.peer, encodeForPeer);
             // A message of a target for a service that is not configured belongs to no flow.
-            sendAll(plan.target, {encodeForTarget(WireCodec::forCluster(clusterName), "no-such-service")});
-            sendBadHttp(deployment, plan);
+            std::string const stray = encodeForTarget(WireCodec::forCluster(clusterName), "no-such-service");
+            expectGrowth(
+                deployment, plan, "almondwing_target_messages_dropped_total",
+                [&] { sendAll(plan.target, {stray}); }, 1);
+            expectGrowth(
+                deployment, plan, "almondwing_http_refused_total", [&] { sendBadHttp(deployment, plan); },
+                badHttpRequests);
         }
         expectService(deployment);
         for (InstancePlan const &plan : deployment.instances())
