Routing: Keep a returned bucket claimed for a time

Ruled out: a lost claim (the link loses nothing) and a claim of a wrong epoch (the trace shows epoch 1 throughout).

Change: a bucket that has come back to its claimant stays claimed for the 10 s for which moves are remembered. hasMovedWithin uses that the moves are sorted, because it is now asked for each claimed bucket.

--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -235,10 +235,33 @@
     buckets = std::move(merged);
 }
 
+// A bucket that the table has given back to its claimant stays claimed for a time: instances that still have
+// the table before it look for the bucket's flows at another target, and find them by the claim only.
+void ClaimController::keepReturnedBuckets(TargetId target, ServiceRoutes const &routes,
+                                          std::vector<std::uint16_t> &buckets, Timestamp now) const
+{
+    std::vector<std::uint16_t> returned;
+    {
+        std::scoped_lock const lock(this->mutex);
+        auto const earlier = this->published.find(target);
+        if (earlier == this->published.end())
+            return;
+        std::ranges::copy_if(earlier->second.buckets, std::back_inserter(returned),
+                             [&](std::uint16_t bucket) {
+                                 return !isForeignBucket(routes, bucket, target)
+                                     && routes.hasMovedWithin(bucket, moveMemory, now);
+                             });
+    }
+    std::vector<std::uint16_t> merged;
+    std::ranges::set_union(buckets, returned, std::back_inserter(merged));
+    buckets = std::move(merged);
+}
+
 void ClaimController::publishIfNeeded(RoutedTarget const &target, ServiceRoutes const &routes,
                                       std::vector<std::uint16_t> buckets, Timestamp now)
 {
     this->adoptPredecessorBuckets(target, buckets);
+    this->keepReturnedBuckets(target.record.id, routes, buckets, now);
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
     std::vector<ClaimReceiver> const receivers = receiversOf(this->blackboard, routes, self);
     ClaimUpdate update{.target = target.record.id, .service = routes.id, .sequence = {}, .buckets = buckets};
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -61,12 +61,14 @@
     void passOnClaims(RoutingView const &view, InstanceId self);
     bool isInheriting(TargetId target, Timestamp now) const;
     bool isBusy() const; // Whether a look is due soon. The mutex is held.
+    void keepReturnedBuckets(TargetId target, ServiceRoutes const &routes,
+                             std::vector<std::uint16_t> &buckets, Timestamp now) const;
     void adoptPredecessorBuckets(RoutedTarget const &target, std::vector<std::uint16_t> &buckets) const;
 
     Blackboard &blackboard;
     Outbox outbox;
     RequestBuckets requestBuckets;
-    std::mutex mutex; // Guards the members below; not held during a send.
+    mutable std::mutex mutex; // Guards the members below; not held during a send.
     std::shared_ptr<RoutingView const> lastView;
     std::uint64_t lastExceptions = 0;
     Timestamp lastComputed;
--- a/Libraries/LibState/RoutingView.cpp
+++ b/Libraries/LibState/RoutingView.cpp
@@ -8,9 +8,8 @@
 
 bool ServiceRoutes::hasMovedWithin(std::uint16_t bucket, Duration window, Timestamp now) const
 {
-    return std::ranges::any_of(this->recentMoves, [&](BucketMove const &move) {
-        return move.bucket == bucket && now - move.at < window;
-    });
+    auto const moves = std::ranges::equal_range(this->recentMoves, bucket, {}, &BucketMove::bucket);
+    return std::ranges::any_of(moves, [&](BucketMove const &move) { return now - move.at < window; });
 }
 
 RoutedTarget const *RoutingView::findTarget(TargetId target) const
