Routing: Claim the buckets that leave a target with partly known flows

Cause: a dispatcher that took over from a dead one, or after a planned stop that lost a datagram, claims only the buckets of flows that it has records of. A flow that is silent from the takeover until the table has moved its bucket is then claimed by nobody, and its next packet is answered with unknown-flow.

Change: while its knowledge is partial, a dispatcher claims each bucket that the table takes from its target. The knowledge becomes complete after the hour for which a flow may be idle, so such claims end; a pause of the process starts that hour anew.

Conclusion: a single loss of an instance breaks no flow in a clean bucket, also when the table moves afterwards.

--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -99,7 +99,7 @@
         this->targets.tick(now);
     this->routing.refresh(now);
     this->sweeper.refreshKnowledge(now);
-    this->forgetAfterPause();
+    this->forgetAfterPause(now);
     this->handleOwnershipChanges(now);
     this->claims.tick(now);
     this->handover.tick(now);
@@ -128,12 +128,12 @@
 
 // Membership raises the incarnation when it finds that the process was paused. A successor may have opened
 // flows meanwhile.
-void Instance::forgetAfterPause()
+void Instance::forgetAfterPause(Timestamp now)
 {
     std::uint64_t const incarnation = this->blackboard.ownStatus.read()->self.incarnation;
     std::uint64_t const before = this->knownIncarnation.exchange(incarnation);
     if (before != 0 && before != incarnation)
-        this->sweeper.forgetKnowledge();
+        this->sweeper.forgetKnowledge(now);
 }
 
 void Instance::handleOwnershipChanges(Timestamp now)
--- a/Libraries/LibInstance/Instance.h
+++ b/Libraries/LibInstance/Instance.h
@@ -81,7 +81,7 @@
 private:
     void handleOwnershipChanges(Timestamp now);
     bool isTargetTickDue(Timestamp now);
-    void forgetAfterPause();
+    void forgetAfterPause(Timestamp now);
 
     Blackboard blackboard;
     MembershipController membership;
--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -220,18 +220,26 @@
     this->hasInheriting = hasInheritingTarget;
 }
 
-// A dispatcher that took over from a dead one does not know all its flows, so it keeps claiming what was
-// claimed.
-void ClaimController::adoptPredecessorBuckets(RoutedTarget const &target,
-                                              std::vector<std::uint16_t> &buckets) const
+// A dispatcher that took over from another does not know all flows of the target. It keeps claiming what was
+// claimed, and claims the buckets that leave the target: flows that were silent since may be in them.
+void ClaimController::addPossibleBuckets(RoutedTarget const &target, ServiceRoutes const &routes,
+                                         std::vector<std::uint16_t> &buckets) const
 {
-    auto const knowledge = this->blackboard.knowledge.read(target.record.id);
-    auto const earlier = this->blackboard.claims.read(target.record.id);
-    bool const isComplete = knowledge && knowledge->value.state == KnowledgeState::Complete;
-    if (isComplete || !earlier)
+    TargetId const id = target.record.id;
+    auto const knowledge = this->blackboard.knowledge.read(id);
+    if (knowledge && knowledge->value.state == KnowledgeState::Complete)
         return;
+    std::vector<std::uint16_t> possible;
+    if (auto const earlier = this->blackboard.claims.read(id))
+        possible = earlier->value.buckets;
+    for (BucketMove const &move : routes.recentMoves) {
+        if (move.previous == id && isForeignBucket(routes, move.bucket, id))
+            possible.push_back(move.bucket);
+    }
+    std::ranges::sort(possible);
     std::vector<std::uint16_t> merged;
-    std::ranges::set_union(buckets, earlier->value.buckets, std::back_inserter(merged));
+    std::ranges::set_union(buckets, possible, std::back_inserter(merged));
+    merged.erase(std::unique(merged.begin(), merged.end()), merged.end());
     buckets = std::move(merged);
 }
 
@@ -260,7 +268,7 @@
 void ClaimController::publishIfNeeded(RoutedTarget const &target, ServiceRoutes const &routes,
                                       std::vector<std::uint16_t> buckets, Timestamp now)
 {
-    this->adoptPredecessorBuckets(target, buckets);
+    this->addPossibleBuckets(target, routes, buckets);
     this->keepReturnedBuckets(target.record.id, routes, buckets, now);
     InstanceId const self = this->blackboard.ownStatus.read()->self.id;
     std::vector<ClaimReceiver> const receivers = receiversOf(this->blackboard, routes, self);
--- a/Libraries/LibRouting/ClaimController.h
+++ b/Libraries/LibRouting/ClaimController.h
@@ -63,7 +63,8 @@
     bool isBusy() const; // Whether a look is due soon. The mutex is held.
     void keepReturnedBuckets(TargetId target, ServiceRoutes const &routes,
                              std::vector<std::uint16_t> &buckets, Timestamp now) const;
-    void adoptPredecessorBuckets(RoutedTarget const &target, std::vector<std::uint16_t> &buckets) const;
+    void addPossibleBuckets(RoutedTarget const &target, ServiceRoutes const &routes,
+                            std::vector<std::uint16_t> &buckets) const;
 
     Blackboard &blackboard;
     Outbox outbox;
--- a/Libraries/LibRouting/FlowSweeper.cpp
+++ b/Libraries/LibRouting/FlowSweeper.cpp
@@ -128,15 +128,33 @@
     }
 }
 
-void FlowSweeper::forgetKnowledge()
+void FlowSweeper::forgetKnowledge(Timestamp now)
 {
     for (auto const &[target, knowledge] : this->blackboard.knowledge.entries()) {
         this->blackboard.knowledge.update(
-            target, [](std::optional<FlowKnowledge> const &current) -> std::optional<FlowKnowledge> {
+            target, [now](std::optional<FlowKnowledge> const &current) -> std::optional<FlowKnowledge> {
                 if (!current)
                     return std::nullopt;
                 FlowKnowledge next = *current;
                 next.state = KnowledgeState::Partial;
+                next.since = now;
+                return next;
+            });
+    }
+}
+
+// A flow that sent nothing for as long as flows may be idle has ended, and any other has been adopted.
+void FlowSweeper::completeOldKnowledge(Timestamp now)
+{
+    for (auto const &[target, knowledge] : this->blackboard.knowledge.entries()) {
+        if (knowledge.state == KnowledgeState::Complete || now - knowledge.since <= idleAfter)
+            continue;
+        this->blackboard.knowledge.update(
+            target, [now](std::optional<FlowKnowledge> const &current) -> std::optional<FlowKnowledge> {
+                if (!current || now - current->since <= idleAfter)
+                    return std::nullopt;
+                FlowKnowledge next = *current;
+                next.state = KnowledgeState::Complete;
                 return next;
             });
     }
@@ -155,6 +173,7 @@
         this->lastSweep = now;
         this->sweptView = view;
     }
+    this->completeOldKnowledge(now);
     auto const takenOutDomains = domainsTakenOut(this->blackboard.configuration.read()->manifest);
     HeardTimes const heard = lastHeardByTarget(this->blackboard);
     std::vector<EndingFlow> ending;
--- a/Libraries/LibRouting/FlowSweeper.h
+++ b/Libraries/LibRouting/FlowSweeper.h
@@ -52,13 +52,14 @@
     void tick(Timestamp now);
 
     // After a pause of the process: a successor may have taken over, so nothing is known completely any more.
-    void forgetKnowledge();
+    void forgetKnowledge(Timestamp now);
 
     SweepCounters counters() const;
 
 private:
     void endFlow(FlowKey const &key, FlowRecord const &record, Reason reason);
     void dropStaleClaims(RoutingView const &view);
+    void completeOldKnowledge(Timestamp now);
     void dropOldRedirects(Timestamp now);
 
     Blackboard &blackboard;
--- a/Tests/LibRouting/FlowMovesTest.cpp
+++ b/Tests/LibRouting/FlowMovesTest.cpp
@@ -120,6 +120,7 @@
     CPPUNIT_TEST(repeatedPacketsOpenNoSecondFlow);
     CPPUNIT_TEST(flowsSurviveTheLossOfADispatcher);
     CPPUNIT_TEST(flowsSurviveTwoLossesInARow);
+    CPPUNIT_TEST(silentFlowsSurviveALossAndAMove);
     CPPUNIT_TEST(copiedExceptionsSurviveTheLossOfADispatcher);
     CPPUNIT_TEST(packetsStayWithinTheirService);
     CPPUNIT_TEST(restartedInstancesLearnTheClaims);
@@ -200,6 +201,24 @@
         CPPUNIT_ASSERT(holds);
     }
 
+    // Guards against flows that send nothing from the loss of their dispatcher until the table has moved
+    // their buckets: the successor has no record of them that it could claim the buckets for.
+    void silentFlowsSurviveALossAndAMove()
+    {
+        bool const holds = rc::check([] {
+            RoutingCluster cluster = makeCluster(*rc::gen::arbitrary<std::uint64_t>());
+            cluster.killInstance(*rc::gen::inRange<std::size_t>(0, cluster.instanceCount()));
+            cluster.advance(15s);
+            cluster.setTargetState(targetName(0), TargetState::Draining);
+            cluster.setTargetState(targetName(4), TargetState::Draining);
+            cluster.advance(15s); // Longer than the memory of moved buckets.
+            sendFor(cluster, 5);
+            expectNoBrokenFlows(cluster);
+            expectAllFlowsAnswer(cluster);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
     // Guards against a dispatcher whose loss also loses the flows that are not where the table says.
     void copiedExceptionsSurviveTheLossOfADispatcher()
     {
