--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -46,7 +46,7 @@
     std::atomic<std::uint64_t> connectionsRefused{0};
 };
 
-// A client that closes its connection, or is cut off, has sent nothing malformed.
+// A client may close its connection between two requests, but not within one.
 bool isMalformed(beast::error_code error)
 {
     return error.category() == beast::error_code(http::error::bad_method).category()
