Tests: Add the test program of LibMessages

Cause: LibMessages had no test program of its own, although the shape asks for one for each library.

--- /dev/null
+++ b/Tests/LibMessages/NamesTest.cpp
@@ -0,0 +1,111 @@
+// Tests of the names and numbers of reasons and states.
+
+#include <LibMessages/Reason.h>
+#include <LibMessages/StateNames.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+// In the order of their numbers, which are part of the wire format.
+constexpr std::array<std::string_view, 22> reasonNames{
+    "none",
+    "unknown-service",
+    "no-target",
+    "target-full",
+    "queue-full",
+    "deadline-too-short",
+    "deadline-passed",
+    "target-shed",
+    "no-second-copy",
+    "failure-domain-unreachable",
+    "failure-domain-taken-out",
+    "instance-stopping",
+    "lease-expired",
+    "cancelled",
+    "dispatcher-lost",
+    "target-lost",
+    "target-silent",
+    "unknown-flow",
+    "answer-incomplete",
+    "retry-budget-spent",
+    "locate-incomplete",
+    "instance-starting",
+};
+
+// The names of all numbers that the type of an enum can hold, up to the first number without a name.
+template<typename Enum, typename NameOf>
+std::vector<std::string> namedValues(NameOf const &nameOf, std::string_view unknownName)
+{
+    std::vector<std::string> names;
+    for (unsigned number = 0; number <= std::numeric_limits<std::uint8_t>::max(); ++number) {
+        std::string_view const name = nameOf(static_cast<Enum>(number));
+        if (name == unknownName)
+            break;
+        names.emplace_back(name);
+    }
+    return names;
+}
+
+} // namespace
+
+class NamesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NamesTest);
+    CPPUNIT_TEST(reasonsKeepTheirNumbers);
+    CPPUNIT_TEST(reasonsHaveDistinctNames);
+    CPPUNIT_TEST(numbersWithoutReasonAreNamedAsSuch);
+    CPPUNIT_TEST(statesHaveDistinctNames);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a reason that is renumbered: instances of two releases would then tell callers different
+    // reasons during a rolling replacement. A new reason fails here until it is added to the table.
+    void reasonsKeepTheirNumbers()
+    {
+        auto const names = namedValues<Reason>(reasonName, "unknown-reason");
+        CPPUNIT_ASSERT_EQUAL(reasonNames.size(), names.size());
+        for (std::size_t number = 0; number < names.size(); ++number)
+            CPPUNIT_ASSERT_EQUAL(std::string(reasonNames[number]), names[number]);
+    }
+
+    // Guards against two reasons that share a name, which metrics and logs could not tell apart.
+    void reasonsHaveDistinctNames()
+    {
+        auto const names = namedValues<Reason>(reasonName, "unknown-reason");
+        CPPUNIT_ASSERT_EQUAL(names.size(), std::set(names.begin(), names.end()).size());
+    }
+
+    // Guards against a number of a later release that is shown under the name of another reason.
+    void numbersWithoutReasonAreNamedAsSuch()
+    {
+        for (std::size_t number = reasonNames.size(); number <= std::numeric_limits<std::uint8_t>::max();
+             ++number)
+            CPPUNIT_ASSERT_EQUAL(std::string("unknown-reason"),
+                                 std::string(reasonName(static_cast<Reason>(number))));
+    }
+
+    // Guards against two states that operators can't tell apart, and against a state without a name.
+    void statesHaveDistinctNames()
+    {
+        auto const members = namedValues<MemberState>(memberStateName, "unknown");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{static_cast<std::uint8_t>(MemberState::Dead)} + 1, members.size());
+        CPPUNIT_ASSERT_EQUAL(members.size(), std::set(members.begin(), members.end()).size());
+
+        auto const targets = namedValues<TargetState>(targetStateName, "unknown");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{static_cast<std::uint8_t>(TargetState::Gone)} + 1, targets.size());
+        CPPUNIT_ASSERT_EQUAL(targets.size(), std::set(targets.begin(), targets.end()).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NamesTest);
+
+} // namespace almondwing
