Tests: Add the test program of LibState

Cause: LibState had no test program of its own; rendezvous hashing and the look-ups of the routing view were tested only through the controllers.

--- /dev/null
+++ b/Tests/LibState/RendezvousTest.cpp
@@ -0,0 +1,177 @@
+// Tests of the choice of dispatchers and replica groups.
+
+#include <LibState/Rendezvous.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+std::string const domain = "zvolen";
+
+// Instances with distinct ids, of which about two in three are in the failure domain.
+std::vector<MemberRecord> anyMembers()
+{
+    auto const ids =
+        *rc::gen::unique<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    std::vector<MemberRecord> members;
+    members.reserve(ids.size());
+    for (std::uint64_t const id : ids)
+        members.push_back(MemberRecord{.id = InstanceId{id},
+                                       .failureDomain = *rc::gen::inRange(0, 3) > 0 ? domain : "banska",
+                                       .state = static_cast<MemberState>(*rc::gen::inRange(0, 4))});
+    return members;
+}
+
+TargetId anyTarget()
+{
+    return TargetId{*rc::gen::arbitrary<std::uint64_t>()};
+}
+
+// One of the possible orders of the members.
+std::vector<MemberRecord> reordered(std::vector<MemberRecord> members)
+{
+    std::ranges::reverse(members);
+    auto const first = *rc::gen::inRange<std::size_t>(0, members.size() + 1);
+    std::rotate(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(first), members.end());
+    return members;
+}
+
+bool canDispatch(MemberRecord const &member)
+{
+    return member.failureDomain == domain
+        && (member.state == MemberState::Alive || member.state == MemberState::Suspect);
+}
+
+std::vector<MemberRecord> without(std::vector<MemberRecord> members, InstanceId removed)
+{
+    std::erase_if(members, [removed](MemberRecord const &member) { return member.id == removed; });
+    return members;
+}
+
+} // namespace
+
+class RendezvousTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RendezvousTest);
+    CPPUNIT_TEST(choicesDoNotDependOnTheOrderOfMembers);
+    CPPUNIT_TEST(dispatcherIsTheFirstRankedThatCanDispatch);
+    CPPUNIT_TEST(removalMovesOnlyTheTargetsOfTheRemoved);
+    CPPUNIT_TEST(replicaGroupIgnoresLiveness);
+    CPPUNIT_TEST(newInstanceReplacesAtMostOneOfTheGroup);
+    CPPUNIT_TEST(targetsSpreadEvenlyOverInstances);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against two instances that learnt of the members in different orders and both dispatch.
+    void choicesDoNotDependOnTheOrderOfMembers()
+    {
+        CPPUNIT_ASSERT(rc::check("choices do not depend on the order of members", [] {
+            auto const members = anyMembers();
+            auto const others = reordered(members);
+            TargetId const target = anyTarget();
+            RC_ASSERT(chooseDispatcher(target, domain, members) == chooseDispatcher(target, domain, others));
+            RC_ASSERT(chooseReplicaGroup(target, domain, members)
+                      == chooseReplicaGroup(target, domain, others));
+        }));
+    }
+
+    // Guards against a dispatcher that is leaving, dead or in another failure domain, and against a successor
+    // that differs from the instance that gets the records at a handover (the next in rank).
+    void dispatcherIsTheFirstRankedThatCanDispatch()
+    {
+        CPPUNIT_ASSERT(rc::check("the dispatcher is the first ranked that can dispatch", [] {
+            auto const members = anyMembers();
+            TargetId const target = anyTarget();
+            std::vector<InstanceId> able;
+            for (MemberRecord const &member : members) {
+                if (canDispatch(member))
+                    able.push_back(member.id);
+            }
+            auto const ranked = rankInstances(target, able);
+            RC_ASSERT(chooseDispatcher(target, domain, members)
+                      == (ranked.empty() ? InstanceId{} : ranked.front()));
+            RC_ASSERT(std::ranges::is_permutation(ranked, able));
+        }));
+    }
+
+    // Guards against a lost instance that makes targets of live instances change their dispatcher, which
+    // would cost their flows a takeover.
+    void removalMovesOnlyTheTargetsOfTheRemoved()
+    {
+        CPPUNIT_ASSERT(rc::check("removal moves only the targets of the removed", [] {
+            auto const members = anyMembers();
+            TargetId const target = anyTarget();
+            InstanceId const before = chooseDispatcher(target, domain, members);
+            for (MemberRecord const &member : members) {
+                InstanceId const after = chooseDispatcher(target, domain, without(members, member.id));
+                RC_ASSERT((member.id == before) == (after != before));
+            }
+        }));
+    }
+
+    // Guards against a group that changes while an instance is down: a quorum of the new group would then
+    // miss records that a quorum of the old one holds, and a request could run twice.
+    void replicaGroupIgnoresLiveness()
+    {
+        CPPUNIT_ASSERT(rc::check("the replica group ignores liveness", [] {
+            auto members = anyMembers();
+            TargetId const target = anyTarget();
+            auto const group = chooseReplicaGroup(target, domain, members);
+            auto const inDomain =
+                static_cast<std::size_t>(std::ranges::count(members, domain, &MemberRecord::failureDomain));
+            RC_ASSERT(group.size() == std::min(inDomain, replicaGroupSize));
+            for (MemberRecord &member : members)
+                member.state = static_cast<MemberState>(*rc::gen::inRange(0, 4));
+            RC_ASSERT(chooseReplicaGroup(target, domain, members) == group);
+        }));
+    }
+
+    // Guards against a join that replaces two of a group, after which its quorums need not intersect.
+    void newInstanceReplacesAtMostOneOfTheGroup()
+    {
+        CPPUNIT_ASSERT(rc::check("a new instance replaces at most one of the group", [] {
+            auto members = anyMembers();
+            TargetId const target = anyTarget();
+            auto const before = chooseReplicaGroup(target, domain, members);
+            InstanceId const added{*rc::gen::inRange<std::uint64_t>(1'000'000, 2'000'000)};
+            members.push_back(MemberRecord{.id = added, .failureDomain = domain});
+            auto after = chooseReplicaGroup(target, domain, members);
+            std::erase(after, added);
+            RC_ASSERT(after.size() + 1 >= before.size());
+            RC_ASSERT(std::ranges::equal(after, std::span(before).first(after.size())));
+        }));
+    }
+
+    // Guards against instances that dispatch for far more targets than others. The bound is five standard
+    // deviations of a binomial distribution: 4,500 targets over 9 instances are 500 each, plus or minus 21.
+    void targetsSpreadEvenlyOverInstances()
+    {
+        constexpr int targetCount = 4500;
+        constexpr int largestDeviation = 106;
+        std::vector<MemberRecord> members(9);
+        for (std::size_t index = 0; index < members.size(); ++index) {
+            members[index].id = InstanceId::fromName("zvolen-" + std::to_string(index));
+            members[index].failureDomain = domain;
+        }
+        std::map<InstanceId, int> counts;
+        for (int index = 0; index < targetCount; ++index)
+            ++counts[chooseDispatcher(TargetId::fromName("cab-" + std::to_string(index)), domain, members)];
+        CPPUNIT_ASSERT_EQUAL(members.size(), counts.size());
+        int const mean = targetCount / static_cast<int>(members.size());
+        for (auto const &[instance, count] : counts)
+            CPPUNIT_ASSERT(std::abs(count - mean) <= largestDeviation);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RendezvousTest);
+
+} // namespace almondwing
