Tests: Split three long test files by topic

Change: Bootstrap, lost disks and admission went to ReplicationMembershipTest.cpp, what both share to StartedCluster.h. The harness of the request controller went to Harness.h, locating and takeover to RequestTakeoverTest.cpp, answers to RequestAnswerTest.cpp. The fake cluster of requests has its callers and targets in FakeClusterTraffic.cpp and its faults in FakeClusterFaults.cpp.

--- /dev/null
+++ b/Tests/LibReplication/ReplicationMembershipTest.cpp
@@ -0,0 +1,212 @@
+// Tests of bootstrap, of lost disks and of the admission of replicas.
+
+#include "StartedCluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+using Status = ReplicationStatus;
+
+} // namespace
+
+class ReplicationMembershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReplicationMembershipTest);
+    CPPUNIT_TEST(emptyInstancesBootstrapOnce);
+    CPPUNIT_TEST(bootstrapWaitsForEveryInstance);
+    CPPUNIT_TEST(lateBootstrapOfAnEarlierCoordinatorIsRefused);
+    CPPUNIT_TEST(evidenceOfAnEarlierHistoryPreventsBootstrap);
+    CPPUNIT_TEST(wipedDiskJoinsUnderANewId);
+    CPPUNIT_TEST(secondDiskIsLostRightAfterTheRepair);
+    CPPUNIT_TEST(learnerIsAdmittedOnlyOnceItHasCaughtUp);
+    CPPUNIT_TEST(majorityOfWipedDisksIsRefused);
+    CPPUNIT_TEST(replacedReplicaThatComesBackDoesNoHarm);
+    CPPUNIT_TEST(secondReplicaOfALiveInstanceIsNotAdmitted);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a first start that never elects a leader, or that starts two histories.
+    void emptyInstancesBootstrapOnce()
+    {
+        ReplicationCluster cluster(3, 1);
+        requireRepaired(cluster);
+        std::size_t bootstraps = 0;
+        for (auto const &node : cluster.nodes)
+            bootstraps +=
+                static_cast<std::size_t>(std::ranges::count(node.events, Event::BootstrapCompleted));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bootstraps);
+    }
+
+    // Guards against a bootstrap without an instance that may hold a history.
+    void bootstrapWaitsForEveryInstance()
+    {
+        ReplicationCluster cluster(5, 1);
+        cluster.stop(4);
+        cluster.run(60s);
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.standing == ReplicaStanding::Empty);
+        cluster.heal();
+        requireRepaired(cluster);
+    }
+
+    // Guards against two histories: a coordinator is wiped after its bootstrap, the next one asks again, and
+    // the commands of the first arrive only then.
+    void lateBootstrapOfAnEarlierCoordinatorIsRefused()
+    {
+        ReplicationCluster cluster(3, 1);
+        cluster.holdBack<BootstrapCommand>();
+        CPPUNIT_ASSERT(cluster.waitUntil([&] { return cluster.hasReported(Event::BootstrapCompleted); }));
+        HistoryId const first = cluster.nodes[0].status.history;
+        cluster.wipe(0);
+        cluster.start(0);
+        CPPUNIT_ASSERT(cluster.waitUntil([&] { return !cluster.nodes[0].status.history.isNone(); }));
+        cluster.releaseHeldBack();
+        requireRepaired(cluster);
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.history != first);
+    }
+
+    // Guards against a new history when all control disks are empty but other instances know a configuration.
+    void evidenceOfAnEarlierHistoryPreventsBootstrap()
+    {
+        ReplicationCluster cluster(3, 1);
+        cluster.bootstrapPermission = false;
+        cluster.run(30s);
+        CPPUNIT_ASSERT(cluster.hasReported(Event::BootstrapRefused));
+        CPPUNIT_ASSERT(!cluster.leader().has_value());
+    }
+
+    // Guards against a wiped disk that votes, that starts a second history, or that stays out for good.
+    void wipedDiskJoinsUnderANewId()
+    {
+        for (std::size_t wiped = 0; wiped < 3; ++wiped) {
+            StartedCluster cluster(3);
+            HistoryId const history = cluster.nodes[0].status.history;
+            Replica const old = cluster.nodes[wiped].status.self;
+            cluster.wipe(wiped);
+            cluster.start(wiped);
+            CPPUNIT_ASSERT(cluster.nodes[wiped].status.standing == ReplicaStanding::Empty);
+            requireRepaired(cluster);
+            CPPUNIT_ASSERT(cluster.nodes[wiped].status.self.id != old.id);
+            for (auto const &node : cluster.nodes)
+                CPPUNIT_ASSERT(node.status.history == history);
+        }
+    }
+
+    // Guards against a repair that is reported before the new replica counts.
+    void secondDiskIsLostRightAfterTheRepair()
+    {
+        StartedCluster cluster(3);
+        cluster.wipe(0);
+        cluster.start(0);
+        CPPUNIT_ASSERT(cluster.waitUntil([&] {
+            return cluster.mayLoseDisk(1) && cluster.nodes[0].status.standing == ReplicaStanding::Voter;
+        }));
+        cluster.wipe(1);
+        cluster.start(1);
+        requireRepaired(cluster);
+    }
+
+    // Guards against a voter that is removed, or added, while its successor can't get the log.
+    void learnerIsAdmittedOnlyOnceItHasCaughtUp()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        for (int change = 0; change < 20; ++change) {
+            cluster.propose(leader);
+            cluster.run(200ms);
+        }
+        auto const voters = cluster.nodes[leader].status.voters;
+        cluster.holdBack<SnapshotPart>();
+        cluster.wipe(otherThan(leader));
+        cluster.heal();
+        cluster.run(60s);
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.voters == voters);
+        cluster.releaseHeldBack();
+        requireRepaired(cluster);
+    }
+
+    // Guards against a minority that goes on alone, or a second history, when most disks were wiped.
+    void majorityOfWipedDisksIsRefused()
+    {
+        StartedCluster cluster(3);
+        HistoryId const history = cluster.nodes[2].status.history;
+        for (std::size_t const index : {0U, 1U}) {
+            cluster.wipe(index);
+            cluster.start(index);
+        }
+        cluster.run(60s);
+        CPPUNIT_ASSERT(cluster.hasReported(Event::MajorityOfDisksLost));
+        CPPUNIT_ASSERT(cluster.hasReported(Event::BootstrapRefused));
+        CPPUNIT_ASSERT(!cluster.leader().has_value());
+        for (auto const &node : cluster.nodes)
+            CPPUNIT_ASSERT(node.status.history.isNone() || node.status.history == history);
+        auto const refused = cluster.nodes[2].core->propose("change", cluster.now);
+        CPPUNIT_ASSERT(refused.status().message().find("majority") != std::string::npos);
+        requireSound(cluster);
+    }
+
+    // Guards against a disk that was only away: while its replica is being replaced it comes back, and with a
+    // member that has not seen the change it must not commit anything beside the new majority.
+    void replacedReplicaThatComesBackDoesNoHarm()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        std::size_t const away = otherThan(leader);
+        std::size_t const behind = otherThan(leader, away);
+        ReplicaId const oldId = cluster.nodes[away].status.self.id;
+        FakeDisk const oldDisk = cluster.nodes[away].disk;
+        cluster.wipe(away);
+        cluster.start(away);
+        auto const isReplacing = [&] {
+            auto const &voters = cluster.nodes[leader].status.voters;
+            return std::ranges::find(voters, oldId, &Replica::id) == voters.end();
+        };
+        CPPUNIT_ASSERT(cluster.waitUntil(isReplacing));
+        cluster.nodes[behind].island = 1;
+        cluster.propose(leader);
+        cluster.run(10s);
+        cluster.stop(away);
+        cluster.nodes[away].disk = oldDisk;
+        cluster.nodes[away].island = 1;
+        cluster.start(away);
+        for (int second = 0; second < 30; ++second) {
+            cluster.run(1s);
+            cluster.propose(away);
+            cluster.propose(behind);
+        }
+        cluster.heal();
+        requireRepaired(cluster);
+    }
+
+    // Guards against two machines with one instance name that replace each other again and again.
+    void secondReplicaOfALiveInstanceIsNotAdmitted()
+    {
+        StartedCluster cluster(3);
+        std::size_t const leader = cluster.waitForLeader();
+        Replica const twin{.id = ReplicaId{77}, .instance = cluster.nodes[otherThan(leader)].instance};
+        auto const voters = cluster.nodes[leader].status.voters;
+        for (int second = 0; second < 10; ++second) {
+            auto &core = *cluster.nodes[leader].core;
+            Status const status = core.status();
+            core.handleMessage({twin, status.self, status.history, JoinRequest{}}, cluster.now);
+            core.handleMessage({twin, status.self, status.history,
+                                AppendReply{.term = status.term,
+                                            .verdict = AppendVerdict::Accepted,
+                                            .matchIndex = status.lastIndex}},
+                               cluster.now);
+            cluster.run(1s);
+        }
+        CPPUNIT_ASSERT(cluster.hasReported(Event::DuplicateInstance));
+        CPPUNIT_ASSERT(cluster.nodes[leader].status.voters == voters);
+        requireSound(cluster);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicationMembershipTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -0,0 +1,186 @@
+// Tests of one controller between recorded hooks: locating, spills and changes of the dispatcher.
+
+#include "Harness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace almondwing {
+
+class RequestTakeoverTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestTakeoverTest);
+    CPPUNIT_TEST(locateReplyIsAPromise);
+    CPPUNIT_TEST(youngMemberDoesNotVouch);
+    CPPUNIT_TEST(pausedDispatcherIsNotCertain);
+    CPPUNIT_TEST(formerRefusalIsNotRepeatedAfterTakeover);
+    CPPUNIT_TEST(differentTablesAreLocated);
+    CPPUNIT_TEST(spilledRequestsStayThere);
+    CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
+    CPPUNIT_TEST(takeoverCountsAllSlots);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a late first send that runs after a resend of it was located from elsewhere.
+    void locateReplyIsAPromise()
+    {
+        Harness harness;
+        auto const request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = request.key}, harness.now);
+        CPPUNIT_ASSERT(std::get<LocateReply>(harness.toInstance.back().second).verdict
+                       == LocateVerdict::NotKnown);
+        harness.send(request);
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        CPPUNIT_ASSERT(std::holds_alternative<Forwarded>(harness.toInstance.back().second));
+        RecordRequest const foreign{
+            .key = request.key, .target = secondTarget, .dispatcher = member, .tryId = 1, .keepFor = 30s};
+        harness.controller->handlePeerMessage(member, foreign, harness.now);
+        CPPUNIT_ASSERT(std::get<RecordReply>(harness.toInstance.back().second).verdict
+                       == RecordVerdict::AlreadyRecorded);
+        CPPUNIT_ASSERT(harness.runs().empty());
+    }
+
+    // Guards against a second run because a restarted member of the group says that it knows nothing.
+    void youngMemberDoesNotVouch()
+    {
+        RequestSettings settings;
+        settings.startedAt = Timestamp{999s};
+        Harness harness(2, settings);
+        RequestKey const key{.service = ServiceId{1}, .caller = 9, .number = 1};
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = key}, harness.now);
+        auto const reply = std::get<RecordReply>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT(reply.verdict == RecordVerdict::Refused && reply.tryId == 0);
+        harness.now += settings.memoryGap;
+        harness.controller->handlePeerMessage(otherDispatcher, Locate{.key = key}, harness.now);
+        CPPUNIT_ASSERT(std::holds_alternative<LocateReply>(harness.toInstance.back().second));
+    }
+
+    // Guards against NotRun, and against a late run, by an instance that was paused or cut off while another
+    // one may have run the request.
+    void pausedDispatcherIsNotCertain()
+    {
+        Harness harness;
+        auto request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.send(request);
+        request.key.number = 2;
+        request.attempt = 2;
+        harness.send(request);
+        harness.now += 5s;
+        for (InstanceId const from : {member, otherDispatcher})
+            harness.controller->handlePeerMessage(
+                from, LocateReply{.key = request.key, .verdict = LocateVerdict::NotKnown}, harness.now);
+        harness.controller->tick(harness.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
+        harness.board.ownStatus.update([](OwnStatus status) {
+            status.lease = LeaseState::Expired;
+            return status;
+        });
+        harness.send(Harness::request(3, RequestClass::Urgent, Idempotency::NonIdempotent));
+        CPPUNIT_ASSERT(harness.unknowns().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT(harness.refusals().empty());
+        harness.sendIdempotent(4);
+        CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT(harness.runs().empty());
+    }
+
+    // Guards against a repeated NotRun although an instance that dispatched in between has run a resend.
+    void formerRefusalIsNotRepeatedAfterTakeover()
+    {
+        Harness harness;
+        auto request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        request.timeLeft = Duration::zero();
+        harness.send(request);
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        harness.now += 10s;
+        harness.controller->handleTakeover(firstTarget, harness.now);
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.unknowns().size());
+    }
+
+    // Guards against two runs of one first send that the network delivered twice, to instances whose bucket
+    // tables differ.
+    void differentTablesAreLocated()
+    {
+        Harness harness;
+        harness.setView(2, TargetState::Warm, self);
+        auto const request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.controller->handleRequest(callerEndpoint, request, secondTarget, ForwardPurpose::Deliver, 0,
+                                          harness.now);
+        CPPUNIT_ASSERT(std::holds_alternative<Locate>(harness.toInstance.back().second));
+    }
+
+    // Guards against a spilled request that runs here, too, when it is sent again.
+    void spilledRequestsStayThere()
+    {
+        Harness harness(1);
+        for (std::uint64_t number = 1; number <= 17; ++number)
+            harness.sendIdempotent(number);
+        auto const request = Harness::request(18, RequestClass::Urgent, Idempotency::NonIdempotent);
+        harness.send(request, 0);
+        auto const spilled = std::get<Forwarded>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        CPPUNIT_ASSERT(spilled.purpose == ForwardPurpose::Spill);
+        CPPUNIT_ASSERT(spilled.candidates == std::vector{secondTarget});
+        for (RunRequest const &run : harness.runs())
+            harness.answer(run);
+        harness.toInstance.clear();
+        harness.send(request, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.toInstance.size());
+        auto const passedOn = std::get<Forwarded>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT_EQUAL(2U, std::get<Request>(passedOn.message).attempt);
+        harness.sendIdempotent(19);
+        CPPUNIT_ASSERT(!harness.controller->isKnown(request.key));
+        // Without a hop left a full queue refuses.
+        for (std::uint64_t number = 20; number <= 40; ++number)
+            harness.sendIdempotent(number);
+        CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::QueueFull);
+    }
+
+    // Guards against a former dispatcher that starts a request which outlasts the time for which its
+    // successor counts the slots as busy.
+    void formerDispatcherStartsNoLongWork()
+    {
+        Harness harness(1);
+        harness.sendIdempotent(1);
+        auto request = Harness::request(2, RequestClass::Urgent, Idempotency::Idempotent);
+        request.timeLeft = 10s;
+        harness.send(request);
+        harness.board.routingView.update([](RoutingView view) {
+            auto routes = *view.services.at(ServiceId{1});
+            routes.targets[0].dispatcher = otherDispatcher;
+            view.services[ServiceId{1}] = std::make_shared<ServiceRoutes const>(routes);
+            return view;
+        });
+        harness.answer(harness.runs().at(0));
+        harness.tickFor(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.runs().size());
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        CPPUNIT_ASSERT(std::holds_alternative<Forwarded>(harness.toInstance.back().second));
+    }
+
+    // Guards against a new dispatcher that overloads a target which still works for the former one.
+    void takeoverCountsAllSlots()
+    {
+        Harness harness;
+        RecordRequest record{.key = {.service = ServiceId{1}, .caller = 2, .number = 1},
+                             .target = firstTarget,
+                             .dispatcher = otherDispatcher,
+                             .tryId = 1,
+                             .keepFor = 8s + 30s};
+        harness.controller->handlePeerMessage(otherDispatcher, record, harness.now);
+        harness.controller->handleTakeover(firstTarget, harness.now);
+        auto request = Harness::request(1, RequestClass::Urgent, Idempotency::Idempotent);
+        request.timeLeft = 20s;
+        harness.send(request);
+        harness.tickFor(7900ms);
+        CPPUNIT_ASSERT(harness.runs().empty());
+        harness.tickFor(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.runs().size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestTakeoverTest);
+
+} // namespace almondwing
