Routing: Move the messages of callers instead of copying them

Cause: data of a known flow that came through CallerRouter was copied twice (into the arrival and into the command to the target), a packet at an entry instance three times (arrival, decision, peer message); each copy allocates a payload.

Change: Forwarded, FlowArrival and ForwardDecision are moved from step to step. CallerRouter looks for the record of the flow first and takes the message apart only if there is one. handleForwarded takes its argument by value; toFlowArrival, serveIfKnown and handleArrival take theirs as rvalue, so the callers in the tests and in the benchmark hand theirs over explicitly. No check changes.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -13,10 +13,16 @@
 
 constexpr Duration refusalRetryAfter = 1s;
 
-bool isFlowMessage(CallerMessage const &message)
+// Null for messages of requests.
+FlowKey const *flowKeyOf(CallerMessage const &message)
 {
-    return std::holds_alternative<OpenFlow>(message) || std::holds_alternative<FlowData>(message)
-        || std::holds_alternative<CloseFlow>(message);
+    if (auto const *const data = std::get_if<FlowData>(&message))
+        return &data->key;
+    if (auto const *const open = std::get_if<OpenFlow>(&message))
+        return &open->key;
+    if (auto const *const close = std::get_if<CloseFlow>(&message))
+        return &close->key;
+    return nullptr;
 }
 
 RequestKey requestKeyOf(CallerMessage const &message)
@@ -54,24 +60,24 @@
     this->route(Forwarded{.caller = caller, .candidates = {}, .message = std::move(message)}, now);
 }
 
-void CallerRouter::handleForwarded(Forwarded const &forwarded, Timestamp now)
+void CallerRouter::handleForwarded(Forwarded forwarded, Timestamp now)
 {
-    this->route(forwarded, now);
+    this->route(std::move(forwarded), now);
 }
 
-void CallerRouter::route(Forwarded const &forwarded, Timestamp now)
+void CallerRouter::route(Forwarded &&forwarded, Timestamp now)
 {
     if (this->serveIfKnown(forwarded, now))
         return;
     auto const view = this->blackboard.routingView.read();
-    ForwardDecision const decision = decideForwarded(*view, this->self(), forwarded);
+    ForwardDecision decision = decideForwarded(*view, this->self(), std::move(forwarded));
     switch (decision.kind) {
     case ForwardDecisionKind::HandleHere:
-        this->handleHere(decision, now);
+        this->handleHere(std::move(decision), now);
         return;
     case ForwardDecisionKind::Forward:
         increment(this->forwardedCount);
-        this->outbox.sendToInstance(decision.instance, decision.forwarded);
+        this->outbox.sendToInstance(decision.instance, PeerMessage(std::move(decision.forwarded)));
         return;
     case ForwardDecisionKind::Refuse:
         this->refuse(decision.forwarded, decision.reason);
@@ -84,16 +90,18 @@
 
 // A record at this instance goes before the table: the table may have moved the bucket since. After a pause
 // of the process nothing is served from records until the lease is back, because a successor may have taken
-// over.
-bool CallerRouter::serveIfKnown(Forwarded const &forwarded, Timestamp now)
+// over. The message is taken out of `forwarded` only if it is served.
+bool CallerRouter::serveIfKnown(Forwarded &forwarded, Timestamp now)
 {
     if (!this->controllers.membership.canDispatch(now))
         return false;
-    if (isFlowMessage(forwarded.message)) {
-        bool const isServed = this->controllers.flows.serveIfKnown(toFlowArrival(forwarded, TargetId{}), now);
-        if (isServed)
-            increment(this->handledHere);
-        return isServed;
+    if (FlowKey const *const key = flowKeyOf(forwarded.message)) {
+        auto const record = this->controllers.flows.recordOf(*key);
+        if (!record)
+            return false;
+        this->controllers.flows.serveKnown(toFlowArrival(std::move(forwarded), TargetId{}), *record, now);
+        increment(this->handledHere);
+        return true;
     }
     if (!this->controllers.requests.isKnown(requestKeyOf(forwarded.message)))
         return false;
@@ -102,15 +110,16 @@
     return true;
 }
 
-void CallerRouter::handleHere(ForwardDecision const &decision, Timestamp now)
+void CallerRouter::handleHere(ForwardDecision &&decision, Timestamp now)
 {
     if (!this->controllers.membership.canDispatch(now)) {
         increment(this->withoutLease);
         return;
     }
     increment(this->handledHere);
-    if (isFlowMessage(decision.forwarded.message))
-        this->controllers.flows.handleArrival(toFlowArrival(decision.forwarded, decision.target), now);
+    if (flowKeyOf(decision.forwarded.message) != nullptr)
+        this->controllers.flows.handleArrival(toFlowArrival(std::move(decision.forwarded), decision.target),
+                                              now);
     else
         this->handleRequestMessage(decision, now);
 }
--- a/Libraries/LibInstance/CallerRouter.h
+++ b/Libraries/LibInstance/CallerRouter.h
@@ -44,14 +44,15 @@
     void handleFromCaller(Endpoint caller, CallerMessage message, Timestamp now);
 
     // A message that another instance passed on.
-    void handleForwarded(Forwarded const &forwarded, Timestamp now);
+    void handleForwarded(Forwarded forwarded, Timestamp now);
 
     CallerRouterCounters counters() const;
 
 private:
-    void route(Forwarded const &forwarded, Timestamp now);
-    bool serveIfKnown(Forwarded const &forwarded, Timestamp now);
-    void handleHere(ForwardDecision const &decision, Timestamp now);
+    // The message is moved from hook to hook, because copies of payloads cost a good part of a decision.
+    void route(Forwarded &&forwarded, Timestamp now);
+    bool serveIfKnown(Forwarded &forwarded, Timestamp now);
+    void handleHere(ForwardDecision &&decision, Timestamp now);
     void handleRequestMessage(ForwardDecision const &decision, Timestamp now);
     void searchRequest(ForwardDecision const &decision, Timestamp now);
     void visitRequestCandidates(Forwarded const &forwarded, std::vector<TargetId> candidates, Timestamp now);
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -24,6 +24,17 @@
     return std::visit([](auto const &content) { return content.key; }, message);
 }
 
+FlowMessage toFlowMessage(CallerMessage &&message)
+{
+    if (auto *const data = std::get_if<FlowData>(&message))
+        return std::move(*data);
+    if (auto *const open = std::get_if<OpenFlow>(&message))
+        return std::move(*open);
+    if (auto const *const close = std::get_if<CloseFlow>(&message))
+        return *close;
+    return {};
+}
+
 std::size_t indexOfTarget(ServiceRoutes const &routes, TargetId target)
 {
     auto const found = std::ranges::find(routes.targets, target,
@@ -62,24 +73,17 @@
 
 } // namespace
 
-FlowArrival toFlowArrival(Forwarded const &forwarded, TargetId target)
+FlowArrival toFlowArrival(Forwarded &&forwarded, TargetId target)
 {
-    FlowArrival arrival{.caller = forwarded.caller,
-                        .target = target,
-                        .purpose = forwarded.purpose,
-                        .hops = forwarded.hops,
-                        .origin = forwarded.origin,
-                        .candidates = forwarded.candidates,
-                        .isOriginComplete = forwarded.isOriginComplete,
-                        .originTarget = forwarded.originTarget,
-                        .message = {}};
-    if (auto const *const open = std::get_if<OpenFlow>(&forwarded.message))
-        arrival.message = *open;
-    else if (auto const *const data = std::get_if<FlowData>(&forwarded.message))
-        arrival.message = *data;
-    else if (auto const *const close = std::get_if<CloseFlow>(&forwarded.message))
-        arrival.message = *close;
-    return arrival;
+    return FlowArrival{.caller = forwarded.caller,
+                       .target = target,
+                       .purpose = forwarded.purpose,
+                       .hops = forwarded.hops,
+                       .origin = forwarded.origin,
+                       .candidates = std::move(forwarded.candidates),
+                       .isOriginComplete = forwarded.isOriginComplete,
+                       .originTarget = forwarded.originTarget,
+                       .message = toFlowMessage(std::move(forwarded.message))};
 }
 
 FlowController::FlowController(Blackboard &sharedBlackboard, Outbox sendingHooks)
@@ -87,28 +91,35 @@
 {
 }
 
-bool FlowController::serveIfKnown(FlowArrival const &arrival, Timestamp now)
+std::optional<FlowRecord> FlowController::recordOf(FlowKey const &key) const
 {
-    FlowKey const key = keyOfFlow(arrival.message);
     auto const known = this->blackboard.flows.read(key);
-    if (!known)
+    return known ? std::optional<FlowRecord>(known->value) : std::nullopt;
+}
+
+bool FlowController::serveIfKnown(FlowArrival &&arrival, Timestamp now)
+{
+    auto const record = this->recordOf(keyOfFlow(arrival.message));
+    if (!record)
         return false;
-    this->serveKnown(arrival, key, known->value, now);
+    this->serveKnown(std::move(arrival), *record, now);
     return true;
 }
 
-void FlowController::handleArrival(FlowArrival const &arrival, Timestamp now)
+void FlowController::handleArrival(FlowArrival &&arrival, Timestamp now)
 {
-    if (this->serveIfKnown(arrival, now))
-        return;
     FlowKey const key = keyOfFlow(arrival.message);
+    if (auto const record = this->recordOf(key)) {
+        this->serveKnown(std::move(arrival), *record, now);
+        return;
+    }
     switch (arrival.purpose) {
     case ForwardPurpose::Deliver:
         this->startSearch(arrival, key, now);
         return;
     case ForwardPurpose::Search: {
         this->rememberOrigin(arrival, key, now);
-        std::vector<TargetId> candidates = arrival.candidates;
+        std::vector<TargetId> candidates = std::move(arrival.candidates);
         candidates.insert(candidates.begin(), arrival.target);
         this->visitCandidates(arrival, key, std::move(candidates), now);
         return;
@@ -122,9 +133,9 @@
     }
 }
 
-void FlowController::serveKnown(FlowArrival const &arrival, FlowKey const &key, FlowRecord const &record,
-                                Timestamp now)
+void FlowController::serveKnown(FlowArrival &&arrival, FlowRecord const &record, Timestamp now)
 {
+    FlowKey const key = keyOfFlow(arrival.message);
     auto const view = this->blackboard.routingView.read();
     RoutedTarget const *const target = view->findTarget(record.target);
     if (target == nullptr || target->record.startMark != record.targetStart) {
@@ -132,7 +143,7 @@
         return;
     }
     if (std::holds_alternative<CloseFlow>(arrival.message)) {
-        this->forwardToTarget(arrival.message, target->record.packetEndpoint);
+        this->forwardToTarget(std::move(arrival.message), target->record.packetEndpoint);
         this->blackboard.flows.remove(key);
         releaseConnection(this->blackboard, record.target);
         this->atomicCounters.closed.fetch_add(1, std::memory_order_relaxed);
@@ -140,20 +151,9 @@
     }
     bool const mustRefresh = record.caller != arrival.caller || record.unansweredSince == Timestamp{}
         || now - record.lastFromCaller >= timeResolution;
-    if (mustRefresh) {
-        this->blackboard.flows.update(
-            key, [&](std::optional<FlowRecord> const &current) -> std::optional<FlowRecord> {
-                if (!current)
-                    return std::nullopt;
-                FlowRecord next = *current;
-                next.caller = arrival.caller;
-                next.lastFromCaller = now;
-                if (next.unansweredSince == Timestamp{})
-                    next.unansweredSince = now;
-                return next;
-            });
-    }
-    this->forwardToTarget(arrival.message, target->record.packetEndpoint);
+    if (mustRefresh)
+        this->refreshRecord(arrival, key, now);
+    this->forwardToTarget(std::move(arrival.message), target->record.packetEndpoint);
     // Where the search went past other candidates, the origin is spared that from now on.
     bool const wasLaterCandidate = arrival.purpose == ForwardPurpose::Search && arrival.origin != this->self()
         && arrival.hops > searchBaseHops + 1;
@@ -161,6 +161,21 @@
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = key, .target = record.target});
 }
 
+void FlowController::refreshRecord(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
+{
+    this->blackboard.flows.update(key,
+                                  [&](std::optional<FlowRecord> const &current) -> std::optional<FlowRecord> {
+                                      if (!current)
+                                          return std::nullopt;
+                                      FlowRecord next = *current;
+                                      next.caller = arrival.caller;
+                                      next.lastFromCaller = now;
+                                      if (next.unansweredSince == Timestamp{})
+                                          next.unansweredSince = now;
+                                      return next;
+                                  });
+}
+
 void FlowController::decideUnknown(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
 {
     if (auto const *const open = std::get_if<OpenFlow>(&arrival.message)) {
@@ -282,7 +297,7 @@
         adoptConnection(this->blackboard, target);
         this->atomicCounters.adopted.fetch_add(1, std::memory_order_relaxed);
     }
-    this->forwardToTarget(arrival.message, routed->record.packetEndpoint);
+    this->forwardToTarget(FlowMessage(arrival.message), routed->record.packetEndpoint);
 }
 
 void FlowController::rejectUnknown(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
@@ -303,9 +318,10 @@
     this->outbox.sendToCaller(record.caller, FlowBroken{.key = key, .reason = reason});
 }
 
-void FlowController::forwardToTarget(FlowMessage const &message, Endpoint target)
+void FlowController::forwardToTarget(FlowMessage &&message, Endpoint target)
 {
-    std::visit([&](auto const &content) { this->outbox.sendToTarget(target, content); }, message);
+    std::visit([&](auto &&content) { this->outbox.sendToTarget(target, TargetCommand(std::move(content))); },
+               std::move(message));
 }
 
 KnowledgeState FlowController::knowledgeOf(TargetId target) const
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -33,7 +34,8 @@
 };
 
 // The arrival of a message of a flow; the target is the one that it is to be handled for, if known.
-FlowArrival toFlowArrival(Forwarded const &forwarded, TargetId target);
+// Takes the message and the candidates out of `forwarded`: copies of payloads cost a good part of a decision.
+FlowArrival toFlowArrival(Forwarded &&forwarded, TargetId target);
 
 struct FlowCounters
 {
@@ -68,11 +70,16 @@
 public:
     FlowController(Blackboard &blackboard, Outbox outbox);
 
-    // Serves the message if this instance has a record of its flow, whatever the bucket table says.
-    bool serveIfKnown(FlowArrival const &arrival, Timestamp now);
+    // Serves the message if this instance has a record of its flow, whatever the bucket table says. Takes the
+    // message out of `arrival` only then.
+    bool serveIfKnown(FlowArrival &&arrival, Timestamp now);
+
+    // The two steps of serveIfKnown, for callers that build the arrival only when the flow is known.
+    std::optional<FlowRecord> recordOf(FlowKey const &key) const;
+    void serveKnown(FlowArrival &&arrival, FlowRecord const &record, Timestamp now);
 
     // Decides about a message whose target this instance dispatches for.
-    void handleArrival(FlowArrival const &arrival, Timestamp now);
+    void handleArrival(FlowArrival &&arrival, Timestamp now);
     void handleTargetMessage(Endpoint from, TargetMessage const &message, Timestamp now);
 
     void handleFlowFound(FlowFound const &found, Timestamp now);
@@ -93,7 +100,7 @@
         std::atomic<std::uint64_t> unmatched = 0;
     };
 
-    void serveKnown(FlowArrival const &arrival, FlowKey const &key, FlowRecord const &record, Timestamp now);
+    void refreshRecord(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void startSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void visitCandidates(FlowArrival const &arrival, FlowKey const &key, std::vector<TargetId> candidates,
                          Timestamp now);
@@ -110,7 +117,7 @@
     void handleTargetBroken(FlowKey const &key, FlowRecord const &record, Reason reason, Timestamp now);
     bool isEndpointOf(TargetId id, Endpoint endpoint) const;
     void noteAnswer(FlowKey const &key, FlowRecord const &record, Timestamp now);
-    void forwardToTarget(FlowMessage const &message, Endpoint target);
+    void forwardToTarget(FlowMessage &&message, Endpoint target);
 
     std::vector<TargetId> searchCandidates(FlowKey const &key, TargetId except) const;
     KnowledgeState knowledgeOf(TargetId target) const;
--- a/Libraries/LibRouting/RouteChoice.cpp
+++ b/Libraries/LibRouting/RouteChoice.cpp
@@ -70,9 +70,10 @@
 
 } // namespace
 
-ForwardDecision decideForwarded(RoutingView const &view, InstanceId self, Forwarded forwarded)
+ForwardDecision decideForwarded(RoutingView const &view, InstanceId self, Forwarded original)
 {
-    ForwardDecision decision;
+    ForwardDecision decision{.target = {}, .instance = {}, .forwarded = std::move(original)};
+    Forwarded &forwarded = decision.forwarded;
     bool const hadCandidates = !forwarded.candidates.empty();
     Route const route = nextRoute(view, self, forwarded);
     // A search or spill whose candidates are all gone is decided by the dispatcher that the table names.
@@ -99,7 +100,6 @@
         ++forwarded.hops;
         break;
     }
-    decision.forwarded = std::move(forwarded);
     return decision;
 }
 
--- a/Tests/LibRouting/RoutingCluster.cpp
+++ b/Tests/LibRouting/RoutingCluster.cpp
@@ -331,15 +331,16 @@
 void RoutingCluster::handleForwarded(std::size_t receiver, Forwarded const &forwarded)
 {
     RoutingInstance &instance = *this->instances[receiver];
-    if (instance.flows.serveIfKnown(toFlowArrival(forwarded, TargetId{}), this->now))
+    if (instance.flows.serveIfKnown(toFlowArrival(Forwarded(forwarded), TargetId{}), this->now))
         return;
-    auto const decision =
+    auto decision =
         decideForwarded(*instance.blackboard.routingView.read(), this->memberOf(receiver).id, forwarded);
     if (decision.kind == ForwardDecisionKind::Forward)
         this->link.push_back(
             Envelope{.receiver = this->indexOf(decision.instance), .message = decision.forwarded});
     else if (decision.kind == ForwardDecisionKind::HandleHere)
-        instance.flows.handleArrival(toFlowArrival(decision.forwarded, decision.target), this->now);
+        instance.flows.handleArrival(toFlowArrival(std::move(decision.forwarded), decision.target),
+                                     this->now);
 }
 
 void RoutingCluster::handleAtTarget(std::size_t sender, Endpoint endpoint, TargetCommand const &command)
--- a/Utilities/almondwing-bench/PacketExperiment.cpp
+++ b/Utilities/almondwing-bench/PacketExperiment.cpp
@@ -251,7 +251,9 @@
         return FlowArrival{.caller = caller,
                            .message = FlowData{.key = measured.keys[index], .payload = payload}};
     };
-    auto const serve = [&](FlowArrival &&arrival) { VERIFY(flows.serveIfKnown(arrival, measured.now)); };
+    auto const serve = [&](FlowArrival &&arrival) {
+        VERIFY(flows.serveIfKnown(std::move(arrival), measured.now));
+    };
     decisions.written.samples.push_back(timeOfDecisions(packetsPerRound, build, serve));
     decisions.known.samples.push_back(timeOfDecisions(packetsPerRound, build, serve));
     decisions.routed.samples.push_back(timeOfDecisions(
