Blackboard: Ask empty shards without their lock

Cause: a new flow looks at the claims of all targets of its service (15 look-ups, each with a lock and a copy of the claim), at redirects and at flows; most of these tables are empty. A look-up also computed the hash of its key twice.

Change: a shard keeps the number of its entries in an atomic that is written under the lock; reads of an empty shard return without the lock. containsWhere looks at a value in place, so possibleHolders no longer copies the buckets of claims. A look-up hashes its key once.

--- a/Libraries/LibBlackboard/ShardedTable.h
+++ b/Libraries/LibBlackboard/ShardedTable.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -40,32 +41,55 @@
 public:
     std::optional<Versioned<Value>> read(Key const &key) const
     {
-        Shard const &shard = this->shardOf(key);
+        std::size_t const hash = std::hash<Key>{}(key);
+        Shard const &shard = this->shards[shardIndex(hash)];
+        if (shard.isEmpty())
+            return std::nullopt;
         std::scoped_lock const lock(shard.mutex);
-        auto const entry = shard.entries.find(key);
+        auto const entry = shard.entries.find(key, hash);
         if (entry == shard.entries.end())
             return std::nullopt;
         return entry->second;
     }
 
-    bool contains(Key const &key) const { return this->read(key).has_value(); }
+    // Whether the key has a value that `accepts` returns true for. Runs `accepts` under the lock of the
+    // shard, so that large values need not be copied; it only looks at the value.
+    template<typename Accept>
+    bool containsWhere(Key const &key, Accept const &accepts) const
+    {
+        std::size_t const hash = std::hash<Key>{}(key);
+        Shard const &shard = this->shards[shardIndex(hash)];
+        if (shard.isEmpty())
+            return false;
+        std::scoped_lock const lock(shard.mutex);
+        auto const entry = shard.entries.find(key, hash);
+        return entry != shard.entries.end() && accepts(std::as_const(entry->second.value));
+    }
+
+    bool contains(Key const &key) const
+    {
+        return this->containsWhere(key, [](Value const &) { return true; });
+    }
 
     // Writes only if the key still has the expected version; 0 expects an absent key.
     WriteOutcome write(Key const &key, Value value, Version expected)
     {
-        Shard &shard = this->shardOf(key);
+        std::size_t const hash = std::hash<Key>{}(key);
+        Shard &shard = this->shards[shardIndex(hash)];
         std::scoped_lock const lock(shard.mutex);
-        auto const entry = shard.entries.find(key);
+        auto const entry = shard.entries.find(key, hash);
         bool const isPresent = entry != shard.entries.end();
         if ((isPresent ? entry->second.version : 0) != expected)
             return WriteOutcome::Conflict;
         // Versions grow over the whole shard, so that a key that was erased and written again gets a new
         // version.
         Version const version = ++shard.lastVersion;
-        if (isPresent)
+        if (isPresent) {
             entry->second = Versioned<Value>{std::move(value), version};
-        else
-            shard.entries.emplace(key, Versioned<Value>{std::move(value), version});
+            return WriteOutcome::Written;
+        }
+        shard.entries.emplace(key, Versioned<Value>{std::move(value), version});
+        shard.noteSize();
         return WriteOutcome::Written;
     }
 
@@ -77,6 +101,7 @@
         if (entry == shard.entries.end() || entry->second.version != expected)
             return WriteOutcome::Conflict;
         shard.entries.erase(entry);
+        shard.noteSize();
         ++shard.lastVersion;
         return WriteOutcome::Written;
     }
@@ -103,6 +128,7 @@
         Shard &shard = this->shardOf(key);
         std::scoped_lock const lock(shard.mutex);
         shard.lastVersion += shard.entries.erase(key);
+        shard.noteSize();
     }
 
     // Grows with every write and erase, so that a controller can see cheaply that nothing has changed.
@@ -161,15 +187,21 @@
         // cheap.
         absl::flat_hash_map<Key, Versioned<Value>, std::hash<Key>> entries;
         Version lastVersion = 0;
+        // Written under the lock and read without it: most tables that a packet has to ask are empty, and
+        // the lock is most of the cost of finding nothing there. A reader that sees no entries while the
+        // first one is written comes before that write.
+        std::atomic<std::size_t> size = 0;
+
+        bool isEmpty() const { return this->size.load(std::memory_order_acquire) == 0; }
+        void noteSize() { this->size.store(this->entries.size(), std::memory_order_release); }
     };
 
-    Shard &shardOf(Key const &key) { return this->shards[shardIndex(key)]; }
-    Shard const &shardOf(Key const &key) const { return this->shards[shardIndex(key)]; }
+    Shard &shardOf(Key const &key) { return this->shards[shardIndex(std::hash<Key>{}(key))]; }
 
-    static std::size_t shardIndex(Key const &key)
+    static std::size_t shardIndex(std::size_t hash)
     {
         // The bits are mixed again because the map inside the shard uses the same hash.
-        return mixBits(std::hash<Key>{}(key)) & (ShardCount - 1);
+        return mixBits(hash) & (ShardCount - 1);
     }
 
     std::array<Shard, ShardCount> shards;
--- a/Libraries/LibRouting/ClaimController.cpp
+++ b/Libraries/LibRouting/ClaimController.cpp
@@ -92,8 +92,11 @@
             add(move.previous);
     }
     for (RoutedTarget const &target : routes->targets) {
-        auto const claim = blackboard.claims.read(target.record.id);
-        if (claim && std::ranges::binary_search(claim->value.buckets, bucket))
+        bool const hasClaim =
+            blackboard.claims.containsWhere(target.record.id, [bucket](ClaimUpdate const &claim) {
+                return std::ranges::binary_search(claim.buckets, bucket);
+            });
+        if (hasClaim)
             add(target.record.id);
     }
     return holders;
