Routing: Look first at the target that the table names

Change: RoutingView::findTarget has an overload for a known service and bucket, which compares the target that the table names before it searches; admission uses the same look-up for target and weight. Cell::select copies a part of a value under the lock of the cell; the look-up in the view, own id and the state of the lease use it. The selected part is copied before anything is sent, so no lock is held across a send.

--- a/Libraries/LibBlackboard/Cell.h
+++ b/Libraries/LibBlackboard/Cell.h
@@ -25,6 +25,15 @@
         return this->current;
     }
 
+    // Copies a small part of the value, which is cheaper than a snapshot. `part` runs under the lock of the
+    // cell; it only looks at the value and returns a copy.
+    template<typename Part>
+    auto select(Part const &part) const
+    {
+        std::scoped_lock const lock(this->mutex);
+        return part(*this->current);
+    }
+
     // Replaces the value if it is still the snapshot that the decision was made from.
     bool replace(Snapshot const &expected, Value value)
     {
--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -51,7 +51,7 @@
 
 InstanceId CallerRouter::self() const
 {
-    return this->blackboard.ownStatus.read()->self.id;
+    return this->blackboard.ownStatus.select([](OwnStatus const &status) { return status.self.id; });
 }
 
 void CallerRouter::handleFromCaller(Endpoint caller, CallerMessage message, Timestamp now)
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -136,14 +136,13 @@
 void FlowController::serveKnown(FlowArrival &&arrival, FlowRecord const &record, Timestamp now)
 {
     FlowKey const key = keyOfFlow(arrival.message);
-    auto const view = this->blackboard.routingView.read();
-    RoutedTarget const *const target = view->findTarget(record.target);
-    if (target == nullptr || target->record.startMark != record.targetStart) {
+    auto const endpoint = this->endpointOfFlow(key, record);
+    if (!endpoint) {
         this->breakFlow(key, record, Reason::TargetLost);
         return;
     }
     if (std::holds_alternative<CloseFlow>(arrival.message)) {
-        this->forwardToTarget(std::move(arrival.message), target->record.packetEndpoint);
+        this->forwardToTarget(std::move(arrival.message), *endpoint);
         this->blackboard.flows.remove(key);
         releaseConnection(this->blackboard, record.target);
         this->atomicCounters.closed.fetch_add(1, std::memory_order_relaxed);
@@ -153,7 +152,7 @@
         || now - record.lastFromCaller >= timeResolution;
     if (mustRefresh)
         this->refreshRecord(arrival, key, now);
-    this->forwardToTarget(std::move(arrival.message), target->record.packetEndpoint);
+    this->forwardToTarget(std::move(arrival.message), *endpoint);
     // Where the search went past other candidates, the origin is spared that from now on.
     bool const wasLaterCandidate = arrival.purpose == ForwardPurpose::Search && arrival.origin != this->self()
         && arrival.hops > searchBaseHops + 1;
@@ -161,6 +160,17 @@
         this->outbox.sendToInstance(arrival.origin, FlowFound{.key = key, .target = record.target});
 }
 
+std::optional<Endpoint> FlowController::endpointOfFlow(FlowKey const &key, FlowRecord const &record) const
+{
+    std::uint16_t const bucket = bucketOfFlow(key);
+    return this->blackboard.routingView.select([&](RoutingView const &view) -> std::optional<Endpoint> {
+        RoutedTarget const *const target = view.findTarget(key.service, bucket, record.target);
+        if (target == nullptr || target->record.startMark != record.targetStart)
+            return std::nullopt;
+        return target->record.packetEndpoint;
+    });
+}
+
 void FlowController::refreshRecord(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
 {
     this->blackboard.flows.update(key,
@@ -193,17 +203,20 @@
 void FlowController::admit(FlowArrival const &arrival, OpenFlow const &open, Timestamp now)
 {
     auto const view = this->blackboard.routingView.read();
-    auto const status = this->blackboard.ownStatus.read();
     ServiceRoutes const *const routes = view->findService(open.key.service);
-    RoutedTarget const *const target = view->findTarget(arrival.target);
-    if (routes == nullptr || target == nullptr || target->record.service != open.key.service
-        || !takesNewFlows(*routes, arrival.target)) {
+    std::size_t const index =
+        routes == nullptr ? 0 : routes->indexOfTarget(arrival.target, bucketOfFlow(open.key));
+    if (routes == nullptr || index == routes->targets.size() || routes->weights[index] <= 0) {
         this->spillOrRefuse(arrival, open, Reason::NoTarget, now);
         return;
     }
+    RoutedTarget const *const target = &routes->targets[index];
     // Another instance dispatches for the target, or soon will. The caller's next Open reaches it; opening
     // the flow at another target instead would leave it with a record that the successor does not know of.
-    if (status->phase != InstancePhase::Serving || status->lease != LeaseState::Held) {
+    bool const mayOpen = this->blackboard.ownStatus.select([](OwnStatus const &status) {
+        return status.phase == InstancePhase::Serving && status.lease == LeaseState::Held;
+    });
+    if (!mayOpen) {
         this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
         return;
     }
@@ -342,7 +355,7 @@
 
 InstanceId FlowController::self() const
 {
-    return this->blackboard.ownStatus.read()->self.id;
+    return this->blackboard.ownStatus.select([](OwnStatus const &status) { return status.self.id; });
 }
 
 void FlowController::handleFlowFound(FlowFound const &found, Timestamp now)
@@ -392,9 +405,10 @@
 // Only the target that has a flow may speak for it.
 bool FlowController::isEndpointOf(TargetId id, Endpoint endpoint) const
 {
-    auto const view = this->blackboard.routingView.read();
-    RoutedTarget const *const target = view->findTarget(id);
-    return target != nullptr && target->record.packetEndpoint == endpoint;
+    return this->blackboard.routingView.select([&](RoutingView const &view) {
+        RoutedTarget const *const target = view.findTarget(id);
+        return target != nullptr && target->record.packetEndpoint == endpoint;
+    });
 }
 
 void FlowController::noteAnswer(FlowKey const &key, FlowRecord const &record, Timestamp now)
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -100,6 +100,8 @@
         std::atomic<std::uint64_t> unmatched = 0;
     };
 
+    // None if the target that has the flow is gone or was restarted.
+    std::optional<Endpoint> endpointOfFlow(FlowKey const &key, FlowRecord const &record) const;
     void refreshRecord(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void startSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void visitCandidates(FlowArrival const &arrival, FlowKey const &key, std::vector<TargetId> candidates,
--- a/Libraries/LibState/RoutingView.cpp
+++ b/Libraries/LibState/RoutingView.cpp
@@ -13,6 +13,26 @@
     });
 }
 
+std::size_t ServiceRoutes::indexOfTarget(TargetId target, std::uint16_t bucket) const
+{
+    std::uint16_t const named = this->buckets[bucket];
+    if (named < this->targets.size() && this->targets[named].record.id == target)
+        return named;
+    auto const found = std::ranges::lower_bound(this->targets, target, {},
+                                                [](RoutedTarget const &routed) { return routed.record.id; });
+    bool const isFound = found != this->targets.end() && found->record.id == target;
+    return isFound ? static_cast<std::size_t>(found - this->targets.begin()) : this->targets.size();
+}
+
+RoutedTarget const *RoutingView::findTarget(ServiceId service, std::uint16_t bucket, TargetId target) const
+{
+    ServiceRoutes const *const routes = this->findService(service);
+    if (routes == nullptr)
+        return nullptr;
+    std::size_t const index = routes->indexOfTarget(target, bucket);
+    return index < routes->targets.size() ? &routes->targets[index] : nullptr;
+}
+
 RoutedTarget const *RoutingView::findTarget(TargetId target) const
 {
     auto const service = this->serviceOfTarget.find(target);
--- a/Libraries/LibState/RoutingView.h
+++ b/Libraries/LibState/RoutingView.h
@@ -70,6 +70,10 @@
         return index == noTarget ? nullptr : &this->targets[index];
     }
 
+    // The position of the target in `targets`, or the number of targets. The bucket is that of the flow which
+    // the look-up is for: most flows are at the target that the table names, so the search is seldom needed.
+    std::size_t indexOfTarget(TargetId target, std::uint16_t bucket) const;
+
     // Whether this instance moved the bucket to another target within the window before `now`.
     bool hasMovedWithin(std::uint16_t bucket, Duration window, Timestamp now) const;
 
@@ -89,6 +93,10 @@
     }
 
     RoutedTarget const *findTarget(TargetId target) const;
+
+    // The same for a target of a known service, with the bucket of the flow or request that it is for. Meant
+    // for the path of packets.
+    RoutedTarget const *findTarget(ServiceId service, std::uint16_t bucket, TargetId target) const;
 };
 
 } // namespace almondwing
