Configuration: Share the history between states instead of copying it

Cause: each applied change copied the whole state with up to 10,000 known requests and 10,000 audit entries. Change: SharedList keeps pointers to immutable entries, so a copy of the state costs a pointer for each entry. Two lines of ConfigurationJsonTest follow the name of its pushBack; what they check is the same. The new test appliedChangeSharesTheHistory fails before the change; TestLibConfiguration (15) and TestLibConfigurationJson (6) pass after it. What remains of a long replay is the search for the request id among 10,000 known ones.

--- a/Libraries/LibConfiguration/ApplyChange.cpp
+++ b/Libraries/LibConfiguration/ApplyChange.cpp
@@ -123,9 +123,9 @@
                                      quotedValue(request.requestId)))};
     }
     ChangeOutcome outcome = decide(state, request);
-    state.knownRequests.push_back({.requestId = request.requestId, .contentHash = hash, .outcome = outcome});
+    state.knownRequests.pushBack({.requestId = request.requestId, .contentHash = hash, .outcome = outcome});
     if (state.knownRequests.size() > maximumKnownRequests)
-        state.knownRequests.pop_front();
+        state.knownRequests.popFront();
     return {AuditKind::Decided, std::move(outcome)};
 }
 
@@ -161,9 +161,9 @@
     }
     Handled handled = handle(state, request);
     state.lastIndex = index;
-    state.audit.push_back(auditEntry(state, index, request, handled));
+    state.audit.pushBack(auditEntry(state, index, request, handled));
     if (state.audit.size() > maximumAuditEntries)
-        state.audit.pop_front();
+        state.audit.popFront();
     return {.state = std::move(state), .outcome = std::move(handled.outcome)};
 }
 
--- a/Libraries/LibConfiguration/ConfigurationState.h
+++ b/Libraries/LibConfiguration/ConfigurationState.h
@@ -4,12 +4,12 @@
 #pragma once
 
 #include <LibConfiguration/ChangeOutcome.h>
+#include <LibConfiguration/SharedList.h>
 #include <LibManifest/Manifest.h>
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 
@@ -73,8 +73,8 @@
     Configuration configuration = {};
     std::uint64_t lastIndex = 0; // Log index of the last change that was applied.
     LastAccepted lastAccepted = {};
-    std::deque<KnownRequest> knownRequests = {};
-    std::deque<AuditEntry> audit = {};
+    SharedList<KnownRequest> knownRequests = {};
+    SharedList<AuditEntry> audit = {};
 
     friend bool operator==(ConfigurationState const &, ConfigurationState const &) = default;
 };
--- a/Libraries/LibConfigurationJson/StateJson.cpp
+++ b/Libraries/LibConfigurationJson/StateJson.cpp
@@ -172,9 +172,9 @@
         StateHeader header = this->readLine<StateHeader>(readStateHeader);
         ConfigurationState &state = header.state;
         for (std::size_t count = 0; count < header.knownRequests && this->errors.empty(); ++count)
-            state.knownRequests.push_back(this->readLine<KnownRequest>(readKnownRequest));
+            state.knownRequests.pushBack(this->readLine<KnownRequest>(readKnownRequest));
         for (std::size_t count = 0; count < header.auditEntries && this->errors.empty(); ++count)
-            state.audit.push_back(this->readLine<AuditEntry>(readAuditEntry));
+            state.audit.pushBack(this->readLine<AuditEntry>(readAuditEntry));
         if (this->errors.empty())
             this->checkState(state);
         if (!this->errors.empty())
--- a/Tests/LibConfiguration/ApplyChangeTest.cpp
+++ b/Tests/LibConfiguration/ApplyChangeTest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(historyIsBounded);
     CPPUNIT_TEST(hugeRejectionsAreStoredShort);
     CPPUNIT_TEST(readersSeeWholeStates);
+    CPPUNIT_TEST(appliedChangeSharesTheHistory);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a change that silently overwrites another operator's change.
@@ -258,6 +259,19 @@
         }
         CPPUNIT_ASSERT_EQUAL(0, tornReads.load());
     }
+
+    // Guards against a start that copies the whole history for each entry of the log that it replays.
+    void appliedChangeSharesTheHistory()
+    {
+        ConfigurationMachine machine;
+        machine.apply(1, applyRequest("first", "jana", 0));
+        auto const before = machine.snapshot();
+        machine.apply(2, takeOutRequest("second", "zone-0"));
+        auto const after = machine.snapshot();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, after->audit.size());
+        CPPUNIT_ASSERT(&before->audit.front() == &after->audit.front());
+        CPPUNIT_ASSERT(&before->knownRequests.front() == &after->knownRequests.front());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ApplyChangeTest);
--- a/Tests/LibConfigurationJson/ConfigurationJsonTest.cpp
+++ b/Tests/LibConfigurationJson/ConfigurationJsonTest.cpp
@@ -115,9 +115,9 @@
             RC_ASSERT(std::holds_alternative<InputErrors>(parseConfigurationState(text.substr(0, length))));
             RC_ASSERT(std::holds_alternative<InputErrors>(parseConfigurationState(text + "{}\n")));
             ConfigurationState repeatedId = state;
-            repeatedId.knownRequests.push_back(state.knownRequests.front());
+            repeatedId.knownRequests.pushBack(state.knownRequests.front());
             ConfigurationState repeatedIndex = state;
-            repeatedIndex.audit.push_back(state.audit.back());
+            repeatedIndex.audit.pushBack(state.audit.back());
             ConfigurationState oldIndex = state;
             oldIndex.lastIndex = 0;
             for (ConfigurationState const &broken : {repeatedId, repeatedIndex, oldIndex})
