Bench: Measure the spread, storage and traffic of configuration changes

Cause: nothing showed whether a change is in force everywhere within 6 s, how long a control instance takes to start after many changes, or what changes and the idle log cost in bytes.

--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -21,4 +21,8 @@
 // Control bytes and processor time of idle membership controllers, over the size of the cluster.
 Report runMembershipExperiment(std::uint64_t seed);
 
+// The time until a change is in force everywhere, the start of a control instance after many changes, and the
+// bytes of changes and of the idle replicated log.
+Report runConfigurationExperiment(std::uint64_t seed);
+
 } // namespace almondwing
