Requests: Allow the checks against the deadline to be switched off

Cause: a measurement of what the limits of queues are worth needs the same program without them. The bound of a queue is a setting, but the early refusal and the check before a start were fixed. Change: RequestSettings::deadlineChecks, Applied by default. The test checks that Off keeps the bound. Conclusion: behaviour with the default settings is unchanged.

--- a/Libraries/LibRequests/QueuePolicy.cpp
+++ b/Libraries/LibRequests/QueuePolicy.cpp
@@ -91,6 +91,8 @@
     Duration const wait = expectedWait(requestClass, queue, usage, limits, now);
     if (queue.waiting[indexOf(requestClass)].size() >= settings.queueBound)
         return {.place = QueuePlace::QueueFull, .wait = wait};
+    if (settings.deadlineChecks == DeadlineChecks::Off)
+        return {.place = QueuePlace::Reserved, .wait = wait};
     // A request that could only start would hold a slot until its deadline and give no answer. On an idle
     // target it runs all the same, so that a service time that was measured too long is corrected.
     bool const isIdle = wait == Duration::zero() && usage.busySlots == 0;
--- a/Libraries/LibRequests/RequestSettings.h
+++ b/Libraries/LibRequests/RequestSettings.h
@@ -9,6 +9,12 @@
 
 namespace almondwing {
 
+// Whether work that can't be answered before its deadline is refused early and not started.
+enum class DeadlineChecks : std::uint8_t {
+    Applied,
+    Off, // For measuring what the checks are worth.
+};
+
 struct RequestSettings
 {
     // Start of this process. Until `memoryGap` later its replica records may lack what a former process of
@@ -21,6 +27,7 @@
     Duration longestDeadline = 1h; // More time left is cut down to this.
 
     std::size_t queueBound = 16; // For each target and class.
+    DeadlineChecks deadlineChecks = DeadlineChecks::Applied;
     std::size_t locatingBound = 256; // Located, running and cancelled requests of one target.
     Duration spillWait = 500ms; // An expected wait above this makes another target worth a hop.
     std::uint8_t maxSpillHops = 2;
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -62,6 +62,8 @@
 // it, see decidePlace.
 bool TryRunner::hasTimeToRun(RequestRecord const &record, Timestamp now) const
 {
+    if (this->store.times().deadlineChecks == DeadlineChecks::Off)
+        return true;
     RequestQueue const queue = this->store.queue(record.target);
     Duration const needed = queue.serviceTime[static_cast<std::size_t>(record.requestClass)];
     return queue.active.empty() || record.deadline - now >= needed;
--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(bulkRunsOnTheOnlySlotWhenQuiet);
     CPPUNIT_TEST(inheritedSlotsCount);
     CPPUNIT_TEST(hopelessRequestsAreRefusedEarly);
+    CPPUNIT_TEST(deadlineChecksCanBeSwitchedOff);
     CPPUNIT_TEST(retriesStayWithinTheirShare);
     CPPUNIT_TEST(answersAreWholeOrIncomplete);
     CPPUNIT_TEST(locatingNeedsAReadQuorumOfEachGroup);
@@ -134,6 +135,23 @@
         CPPUNIT_ASSERT(place(RequestClass::Interactive, 1h).place == QueuePlace::Reserved);
     }
 
+    // Guards against a measurement without the checks that still applies them, or that switches off the
+    // bound.
+    void deadlineChecksCanBeSwitchedOff()
+    {
+        RequestSettings off;
+        off.deadlineChecks = DeadlineChecks::Off;
+        RequestQueue queue = withServiceTime(RequestQueue{}, RequestClass::Urgent, 100ms, now);
+        TargetLimits const limits{.slots = 1, .connections = 0};
+        auto const place = [&] {
+            return decidePlace(RequestClass::Urgent, 1ms, queue, busy(1), limits, off, now).place;
+        };
+        CPPUNIT_ASSERT(place() == QueuePlace::Reserved);
+        for (std::uint64_t number = 1; number <= off.queueBound; ++number)
+            queue = withWaiting(queue, keyOf(number), RequestClass::Urgent, now);
+        CPPUNIT_ASSERT(place() == QueuePlace::QueueFull);
+    }
+
     // Guards against retries that add more than 10% to the load of a target that sheds, and against retries
     // behind the deadline.
     void retriesStayWithinTheirShare()
