Requests: Tell no answer that leaves after the deadline as a success

Cause: a part that completed an answer ended the request as Answered at any time: after the deadline until the tick that cancels the try, and for bulk also when the last part waited for its turn until after the deadline. Change: a complete answer is OutcomeUnknown (deadline-passed) if it would leave after the deadline; its last part is not sent. The pacing state counts the waiting bytes, from which the time of a bulk part follows. Parts of such an answer that have left before are not taken back.

--- a/Libraries/LibRequests/RequestOutcomes.cpp
+++ b/Libraries/LibRequests/RequestOutcomes.cpp
@@ -169,7 +169,7 @@
 void RequestOutcomes::sendPart(RequestKey key, RequestRecord const &record, std::uint32_t part)
 {
     if (record.requestClass == RequestClass::Bulk)
-        this->pacePart(key, part);
+        this->pacePart(key, part, record.answer->parts[part]->size());
     else
         this->outbox.sendToCaller(record.caller, keptPart(key, *record.answer, part));
 }
@@ -185,17 +185,30 @@
     }
 }
 
-void RequestOutcomes::pacePart(RequestKey key, std::uint32_t part)
+void RequestOutcomes::pacePart(RequestKey key, std::uint32_t part, std::size_t bytes)
 {
     std::optional<std::uint64_t> position;
     this->store.board().pacing.update([&](PacingState state) {
         bool const hasRoom = state.tail - state.head < this->store.times().pacedPartBound;
         position = hasRoom ? std::optional(state.tail) : std::nullopt;
         state.tail += hasRoom ? 1 : 0;
+        state.bytes += hasRoom ? bytes : 0;
         return state;
     });
     if (position)
-        this->store.board().pacedParts.write(*position, PacedPart{.key = key, .part = part}, 0);
+        this->store.board().pacedParts.write(*position, PacedPart{.key = key, .part = part, .bytes = bytes},
+                                             0);
+}
+
+Duration RequestOutcomes::pauseAfter(std::size_t bytes) const
+{
+    return Duration{1'000'000 * bytes / this->store.times().bulkBytesPerSecond};
+}
+
+Timestamp RequestOutcomes::pacedSendTime(Timestamp now) const
+{
+    auto const state = this->store.board().pacing.read();
+    return std::max(now, state->nextAt) + this->pauseAfter(state->bytes);
 }
 
 std::optional<Timestamp> RequestOutcomes::sendNextBulkPart(Timestamp now)
@@ -209,11 +222,11 @@
     // The position is taken before the entry is written; the writer needs another moment.
     if (!paced || this->store.board().pacedParts.erase(state->head, paced->version) != WriteOutcome::Written)
         return now + 1ms;
-    std::size_t const bytes = this->sendPacedPart(paced->value);
-    Duration const pause{1'000'000 * bytes / this->store.times().bulkBytesPerSecond};
+    std::size_t const sentBytes = this->sendPacedPart(paced->value);
     auto const next = this->store.board().pacing.update([&](PacingState current) {
         current.head = std::max(current.head, state->head + 1);
-        current.nextAt = now + pause;
+        current.nextAt = now + this->pauseAfter(sentBytes);
+        current.bytes -= paced->value.bytes;
         return current;
     });
     return next->head == next->tail ? std::nullopt : std::optional(next->nextAt);
@@ -232,7 +245,7 @@
         || record->answer->parts[paced.part] == nullptr)
         return 0;
     this->outbox.sendToCaller(record->caller, keptPart(paced.key, *record->answer, paced.part));
-    return record->answer->parts[paced.part]->size();
+    return paced.bytes;
 }
 
 } // namespace almondwing
--- a/Libraries/LibRequests/RequestOutcomes.h
+++ b/Libraries/LibRequests/RequestOutcomes.h
@@ -50,6 +50,9 @@
     std::optional<Timestamp> sendNextBulkPart(Timestamp now);
     bool hasPacedParts() const;
 
+    // When a bulk part that is handed over now leaves, behind those that wait.
+    Timestamp pacedSendTime(Timestamp now) const;
+
     Outbox const &out() const { return this->outbox; }
 
 private:
@@ -57,8 +60,9 @@
     void dropPartialAnswer(RequestKey key);
     void releaseRecords(RequestKey key, RequestRecord const &record);
     void sendFinalMessage(RequestKey key, RequestRecord const &record);
-    void pacePart(RequestKey key, std::uint32_t part);
-    std::size_t sendPacedPart(PacedPart const &paced);
+    void pacePart(RequestKey key, std::uint32_t part, std::size_t bytes);
+    Duration pauseAfter(std::size_t bytes) const;
+    std::size_t sendPacedPart(PacedPart const &paced); // The bytes, 0 if the answer has been dropped.
 
     RequestStore &store;
     ReplicaRecords &replicas;
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -12,6 +12,18 @@
 
 namespace almondwing {
 
+namespace {
+
+// A caller must not count an answer that leaves after its deadline as a success.
+FinalOutcome outcomeOfAnswer(RequestRecord const &record, Timestamp sentAt)
+{
+    if (sentAt <= record.deadline)
+        return {.outcome = RequestOutcome::Answered};
+    return {.outcome = RequestOutcome::Unknown, .reason = Reason::DeadlinePassed};
+}
+
+} // namespace
+
 TryRunner::TryRunner(RequestStore &requestStore, RequestOutcomes &finalOutcomes,
                      RandomSource const &randomSource)
     : store(requestStore), outcomes(finalOutcomes), random(randomSource)
@@ -245,6 +257,7 @@
     PartFate fate = PartFate::Inconsistent;
     SlotUse slotBefore = SlotUse::None;
     RequestPhase phaseBefore = RequestPhase::Finished;
+    Timestamp const pacedAt = this->outcomes.pacedSendTime(now);
     auto const record =
         this->store.change(part.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
             fate = PartFate::Inconsistent;
@@ -263,8 +276,8 @@
             fate = added.fate;
             next.answer = added.answer;
             bool const isComplete = next.answer && next.answer->isComplete();
-            return isComplete ? this->outcomes.finished(next, {.outcome = RequestOutcome::Answered}, now)
-                              : next;
+            Timestamp const sentAt = current.requestClass == RequestClass::Bulk ? pacedAt : now;
+            return isComplete ? this->outcomes.finished(next, outcomeOfAnswer(current, sentAt), now) : next;
         });
     if (!record || fate != PartFate::Added)
         this->store.returnAnswerBytes(part.payload.size());
@@ -272,7 +285,7 @@
         this->dropPart(part);
     if (!record)
         return;
-    if (fate == PartFate::Added)
+    if (fate == PartFate::Added && record->outcome != RequestOutcome::Unknown)
         this->outcomes.sendPart(part.key, *record, part.part);
     if (phaseBefore == RequestPhase::Running && record->phase == RequestPhase::Finished)
         this->finishAnswer(part.key, *record, now);
--- a/Libraries/LibState/RequestRecord.h
+++ b/Libraries/LibState/RequestRecord.h
@@ -180,6 +180,7 @@
 {
     RequestKey key;
     std::uint32_t part = 0;
+    std::size_t bytes = 0;
 
     friend bool operator==(PacedPart const &, PacedPart const &) = default;
 };
@@ -190,6 +191,7 @@
     std::uint64_t head = 0;
     std::uint64_t tail = 0;
     Timestamp nextAt; // The byte rate allows no bulk part before.
+    std::size_t bytes = 0; // Of the waiting parts.
 
     friend bool operator==(PacingState const &, PacingState const &) = default;
 };
