almondwing-bench: Measure requests

Cause: the targets for goodput, false outcomes, urgent waiting and retries had no measurement. Change: subcommand `requests`. Each run is repeated with one class, unbounded queues and no checks against the deadline. The cluster stops at events between its steps and leaves requests to a hook; flows are served as before.

--- a/Utilities/almondwing-bench/CallerPopulation.cpp
+++ b/Utilities/almondwing-bench/CallerPopulation.cpp
@@ -21,7 +21,8 @@
 CallerPopulation::CallerPopulation(std::uint64_t seed, std::vector<std::string> const &domains,
                                    std::size_t instancesPerDomain)
     : cluster(std::make_unique<InstanceCluster>(
-        seed, domains, instancesPerDomain, [this](CallerReply const &reply) { this->handleReply(reply); })),
+        seed, domains, instancesPerDomain,
+        [this](Endpoint, CallerReply const &reply) { this->handleReply(reply); })),
       random(seed + 1)
 {
 }
--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -21,4 +21,8 @@
 // Control bytes and processor time of idle membership controllers, over the size of the cluster.
 Report runMembershipExperiment(std::uint64_t seed);
 
+// Goodput, false outcomes, waiting times and retries of requests, beside the same program without classes
+// and limits.
+Report runRequestExperiment(std::uint64_t seed);
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/InstanceCluster.cpp
+++ b/Utilities/almondwing-bench/InstanceCluster.cpp
@@ -3,6 +3,7 @@
 #include "InstanceCluster.h"
 
 #include <LibCore/Verify.h>
+#include <LibManifest/ManifestOperations.h>
 
 #include <fmt/format.h>
 
@@ -14,7 +15,7 @@
 namespace {
 
 constexpr Duration announcementInterval = 2s;
-constexpr Endpoint caller{.address = 0x7f000001, .port = 9};
+constexpr Endpoint defaultCaller{.address = 0x7f000001, .port = 9};
 
 std::string kindOf(PeerMessage const &message)
 {
@@ -41,8 +42,10 @@
 } // namespace
 
 InstanceCluster::InstanceCluster(std::uint64_t seed, std::vector<std::string> const &domains,
-                                 std::size_t instancesPerDomain, ReplyHook replyHook)
-    : random(seed), onReply(std::move(replyHook))
+                                 std::size_t instancesPerDomain, ReplyHook replyHook, RequestHook requestHook,
+                                 RequestSettings settingsOfRequests)
+    : random(seed), onReply(std::move(replyHook)), onRequest(std::move(requestHook)),
+      requestSettings(settingsOfRequests)
 {
     Manifest &manifest = this->configuration.manifest;
     this->configuration.version = 1;
@@ -78,7 +81,7 @@
 
 Outbox InstanceCluster::outboxOf(std::size_t index)
 {
-    return Outbox{.sendToCaller = [this](Endpoint, CallerReply const &reply) { this->onReply(reply); },
+    return Outbox{.sendToCaller = [this](Endpoint to, CallerReply const &reply) { this->onReply(to, reply); },
                   .sendToTarget =
                       [this, index](Endpoint endpoint, TargetCommand const &command) {
                           this->handleAtTarget(index, endpoint, command);
@@ -93,9 +96,10 @@
 void InstanceCluster::startInstance(std::size_t index)
 {
     this->members[index].incarnation += 100;
+    InstanceSettings settings{.requests = this->requestSettings};
+    settings.requests.startedAt = this->now;
     this->instances[index] =
-        std::make_unique<Instance>(InstanceSettings{.requests = {.startedAt = this->now}},
-                                   this->outboxOf(index), [this] { return this->random(); });
+        std::make_unique<Instance>(settings, this->outboxOf(index), [this] { return this->random(); });
     std::vector<MemberRecord> seeds;
     for (std::size_t seed = 0; seed < this->instances.size(); ++seed) {
         if (seed != index)
@@ -164,11 +168,39 @@
 }
 
 void InstanceCluster::send(CallerMessage const &message)
+{
+    this->send(defaultCaller, message);
+}
+
+void InstanceCluster::send(Endpoint caller, CallerMessage const &message)
 {
     this->instances[this->randomInstance("")]->handleCallerMessage(caller, message, this->now);
     this->deliverAll();
 }
 
+void InstanceCluster::sendFromTarget(std::string const &target, std::size_t receiver,
+                                     TargetMessage const &message)
+{
+    Endpoint const endpoint = this->targets.at(target).announcement.packetEndpoint;
+    this->link.emplace_back([this, receiver, endpoint, message] {
+        if (this->instances[receiver] != nullptr)
+            this->instances[receiver]->handleTargetMessage(endpoint, message, this->now);
+    });
+}
+
+void InstanceCluster::setFailureDomainState(std::string const &domain, FailureDomainState state)
+{
+    auto const changed = almondwing::setFailureDomainState(this->configuration.manifest, domain, state,
+                                                           LastDomainPolicy::Refuse);
+    VERIFY(changed.ok());
+    this->configuration.manifest = *changed;
+    ++this->configuration.version;
+    for (auto const &instance : this->instances) {
+        if (instance != nullptr)
+            instance->handleConfiguration(this->configuration);
+    }
+}
+
 void InstanceCluster::handleAtTarget(std::size_t sender, Endpoint endpoint, TargetCommand const &command)
 {
     EchoTarget &target = this->targets.at(this->targetNames.at(endpoint));
@@ -193,6 +225,8 @@
     } else if (auto const *const close = std::get_if<CloseFlow>(&command)) {
         target.flows.erase(close->key.flow);
         this->flowTargets.erase(close->key.flow);
+    } else if (this->onRequest) {
+        this->onRequest(sender, target.announcement.name, command);
     }
 }
 
@@ -248,9 +282,28 @@
     instance.handleRecords(valuesOf(source.members), valuesOf(source.targets), this->now);
 }
 
+void InstanceCluster::advanceTo(Timestamp time)
+{
+    VERIFY(time >= this->now && time <= this->nextStepAt);
+    this->now = time;
+    this->deliverAll();
+}
+
+std::optional<Timestamp> InstanceCluster::sendBulkParts()
+{
+    std::optional<Timestamp> next;
+    for (auto const &instance : this->instances) {
+        auto const time = instance != nullptr ? instance->sendNextBulkPart(this->now) : std::nullopt;
+        if (time)
+            next = std::min(next.value_or(*time), *time);
+    }
+    return next;
+}
+
 void InstanceCluster::step()
 {
-    this->now += clusterStep;
+    this->now = this->nextStepAt;
+    this->nextStepAt += clusterStep;
     for (auto &[name, target] : this->targets) {
         if (target.isRunning && this->now >= target.nextAnnouncement)
             this->announce(target);
--- a/Utilities/almondwing-bench/InstanceCluster.h
+++ b/Utilities/almondwing-bench/InstanceCluster.h
@@ -1,5 +1,6 @@
-// Instances of one cluster in one process, on a lossless link without delay, with targets that echo what they
-// get. Time advances by steps; the seed decides which instance a packet reaches.
+// Instances of one cluster in one process, on a lossless link without delay, with targets that echo the
+// packets of flows and leave requests to a hook. Time advances by steps, with stops in between for events of
+// the experiment; the seed decides which instance a packet reaches.
 
 #pragma once
 
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -44,10 +46,14 @@
 class InstanceCluster
 {
 public:
-    using ReplyHook = std::function<void(CallerReply const &)>;
+    using ReplyHook = std::function<void(Endpoint caller, CallerReply const &)>;
+    // A message about a request that instance `sender` has sent to a target.
+    using RequestHook =
+        std::function<void(std::size_t sender, std::string const &target, TargetCommand const &)>;
 
     InstanceCluster(std::uint64_t seed, std::vector<std::string> const &domains,
-                    std::size_t instancesPerDomain, ReplyHook replyHook);
+                    std::size_t instancesPerDomain, ReplyHook replyHook, RequestHook requestHook = {},
+                    RequestSettings requestSettings = {});
     InstanceCluster(InstanceCluster const &) = delete; // The hooks refer to this object.
     InstanceCluster &operator=(InstanceCluster const &) = delete;
 
@@ -61,10 +67,24 @@
 
     // A packet of a caller, which reaches a random running instance.
     void send(CallerMessage const &message);
+    void send(Endpoint caller, CallerMessage const &message);
 
-    // Delivers all messages and advances the time by clusterStep.
+    // An answer of a target about a request.
+    void sendFromTarget(std::string const &target, std::size_t receiver, TargetMessage const &message);
+
+    // Every instance gets the changed configuration at once.
+    void setFailureDomainState(std::string const &domain, FailureDomainState state);
+
+    // Delivers all messages and advances the time to the next step.
     void step();
 
+    // Advances the time to a moment before the next step.
+    void advanceTo(Timestamp time);
+    Timestamp nextStep() const { return this->nextStepAt; }
+
+    // Sends at most one part of a bulk answer from each instance. Returns when to call again, if parts wait.
+    std::optional<Timestamp> sendBulkParts();
+
     bool isWarm(std::string const &target) const;
     std::string targetOfFlow(std::uint64_t flow) const;
     std::map<std::string, EchoTarget> const &echoTargets() const { return this->targets; }
@@ -88,6 +108,8 @@
 
     std::mt19937_64 random;
     ReplyHook onReply;
+    RequestHook onRequest;
+    RequestSettings requestSettings;
     WireCodec codec = WireCodec::forCluster("bench");
     Configuration configuration;
     std::vector<std::string> domainOfInstance;
@@ -99,6 +121,7 @@
     std::unordered_map<std::uint64_t, std::string> flowTargets;
     std::deque<std::function<void()>> link; // Deliveries under way, so that no hook calls back.
     Timestamp now{1000s};
+    Timestamp nextStepAt = now + clusterStep;
     Duration sinceSecond{};
     std::uint16_t nextPort = 10'000;
 };
--- a/Utilities/almondwing-bench/Main.cpp
+++ b/Utilities/almondwing-bench/Main.cpp
@@ -28,6 +28,8 @@
         Experiment{"memory", "Heap bytes of the entries of the blackboard", runMemoryExperiment},
         Experiment{"balance", "Planned changes, beside plain rendezvous hashing", runBalanceExperiment},
         Experiment{"membership", "Cost of idle membership over the size", runMembershipExperiment},
+        Experiment{"requests", "Goodput, false outcomes, waiting and retries of requests",
+                   runRequestExperiment},
     };
 }
 
