--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -25,4 +25,8 @@
 // bytes of changes and of the idle replicated log.
 Report runConfigurationExperiment(std::uint64_t seed);
 
+// Goodput, false outcomes, waiting times and retries of requests, beside the same program without classes
+// and limits.
+Report runRequestExperiment(std::uint64_t seed);
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/Main.cpp
+++ b/Utilities/almondwing-bench/Main.cpp
@@ -30,6 +30,8 @@
         Experiment{"membership", "Cost of idle membership over the size", runMembershipExperiment},
         Experiment{"configuration", "Spread, storage and traffic of configuration changes",
                    runConfigurationExperiment},
+        Experiment{"requests", "Goodput, false outcomes, waiting and retries of requests",
+                   runRequestExperiment},
     };
 }
 
