Requests: Send nothing to a failure domain that was taken out

Cause: found by reading: the check before the start of queued work did not look at failure domains, so requests that waited for a target could start for as long as their deadlines allowed after operators had taken its failure domain out.

Change: queued work leaves such a target as it leaves a draining one, and TryRunner drops every message to it. An answer that is under way is still handed to its caller; one that needs a repeat ends unknown at its deadline. The look-up of a failure domain's state stands once, in LibManifest.

--- a/Libraries/LibManifest/ManifestOperations.cpp
+++ b/Libraries/LibManifest/ManifestOperations.cpp
@@ -63,6 +63,12 @@
     return proposal;
 }
 
+bool isTakenOut(Manifest const &manifest, std::string const &domain)
+{
+    auto const found = std::ranges::find(manifest.failureDomains, domain, &FailureDomain::name);
+    return found != manifest.failureDomains.end() && found->state == FailureDomainState::TakenOut;
+}
+
 absl::StatusOr<Manifest> setFailureDomainState(Manifest const &manifest, std::string const &domain,
                                                FailureDomainState state, LastDomainPolicy policy)
 {
--- a/Libraries/LibManifest/ManifestOperations.h
+++ b/Libraries/LibManifest/ManifestOperations.h
@@ -16,6 +16,9 @@
 
 enum class DrainState : std::uint8_t { Draining, Active };
 
+// False for a failure domain that the manifest does not name.
+bool isTakenOut(Manifest const &manifest, std::string const &domain);
+
 // Setting the state that a failure domain already has changes nothing and is no error.
 absl::StatusOr<Manifest> setFailureDomainState(Manifest const &manifest, std::string const &domain,
                                                FailureDomainState state, LastDomainPolicy policy);
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -93,12 +93,7 @@
 {
     bool const isUsable = !target.dispatcher.isNone() && target.limits.slots > 0
         && (target.record.state == TargetState::Starting || target.record.state == TargetState::Warm);
-    auto const configuration = this->store.board().configuration.read();
-    return isUsable
-        && std::ranges::none_of(configuration->manifest.failureDomains, [&](FailureDomain const &domain) {
-               return domain.name == target.record.failureDomain
-                   && domain.state == FailureDomainState::TakenOut;
-           });
+    return isUsable && !this->store.isTakenOut(target);
 }
 
 void RequestAdmission::leaveToSuccessor(RequestKey key, RequestRecord const &record, Timestamp now)
--- a/Libraries/LibRequests/RequestStore.cpp
+++ b/Libraries/LibRequests/RequestStore.cpp
@@ -2,6 +2,7 @@
 
 #include <LibRequests/RequestStore.h>
 
+#include <LibManifest/ManifestOperations.h>
 #include <LibRequests/QueuePolicy.h>
 
 #include <algorithm>
@@ -266,6 +267,12 @@
     this->returnAnswerBytes(record.answer->bytes);
 }
 
+bool RequestStore::isTakenOut(RoutedTarget const &target) const
+{
+    auto const configuration = this->blackboard.configuration.read();
+    return almondwing::isTakenOut(configuration->manifest, target.record.failureDomain);
+}
+
 InstanceId RequestStore::self() const
 {
     return this->blackboard.ownStatus.read()->self.id;
--- a/Libraries/LibRequests/RequestStore.h
+++ b/Libraries/LibRequests/RequestStore.h
@@ -54,6 +54,9 @@
     InstanceId self() const;
     std::shared_ptr<RoutingView const> view() const { return this->blackboard.routingView.read(); }
 
+    // Whether operators have taken out the failure domain of the target.
+    bool isTakenOut(RoutedTarget const &target) const;
+
     Blackboard &board() { return this->blackboard; }
     RequestSettings const &times() const { return this->settings; }
 
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -37,7 +37,8 @@
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(target);
     if (routed == nullptr
-        || (routed->record.state != TargetState::Starting && routed->record.state != TargetState::Warm))
+        || (routed->record.state != TargetState::Starting && routed->record.state != TargetState::Warm)
+        || this->store.isTakenOut(*routed))
         return Reason::NoTarget;
     return Reason::None;
 }
@@ -128,19 +129,29 @@
 
 void TryRunner::sendRun(RequestKey key, RequestRecord const &record, Timestamp now)
 {
-    this->outcomes.out().sendToTarget(record.targetEndpoint,
-                                      RunRequest{.key = key,
-                                                 .tryId = record.tryId,
-                                                 .requestClass = record.requestClass,
-                                                 .idempotency = record.idempotency,
-                                                 .timeLeft = record.deadline - now,
-                                                 .payload = record.payload ? *record.payload : ""});
+    this->sendToTarget(record,
+                       RunRequest{.key = key,
+                                  .tryId = record.tryId,
+                                  .requestClass = record.requestClass,
+                                  .idempotency = record.idempotency,
+                                  .timeLeft = record.deadline - now,
+                                  .payload = record.payload ? *record.payload : ""});
 }
 
 void TryRunner::sendCancel(RequestKey key, RequestRecord const &record)
 {
-    this->outcomes.out().sendToTarget(record.targetEndpoint,
-                                      CancelRequest{.key = key, .tryId = record.tryId});
+    this->sendToTarget(record, CancelRequest{.key = key, .tryId = record.tryId});
+}
+
+// A failure domain that operators have taken out gets no packets, also none of requests that run there. Their
+// answers are still taken; those that need a repeat end unknown at their deadline.
+void TryRunner::sendToTarget(RequestRecord const &record, TargetCommand const &command)
+{
+    auto const view = this->store.view();
+    RoutedTarget const *const routed = view->findTarget(record.target);
+    if (routed != nullptr && this->store.isTakenOut(*routed))
+        return;
+    this->outcomes.out().sendToTarget(record.targetEndpoint, command);
 }
 
 bool TryRunner::isOfPresentTry(RequestRecord const &record, Endpoint from, std::uint64_t tryId) const
@@ -381,8 +392,8 @@
     auto const record = this->markSent(key, step, now);
     if (!record)
         return;
-    this->outcomes.out().sendToTarget(
-        record->targetEndpoint,
+    this->sendToTarget(
+        *record,
         ResendParts{.key = key, .tryId = record->tryId, .parts = partsToAskFor(record->answer.get())});
 }
 
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -50,6 +50,7 @@
     bool startTry(RequestKey key, RoutedTarget const &target, Timestamp now);
     void sendRun(RequestKey key, RequestRecord const &record, Timestamp now);
     void sendCancel(RequestKey key, RequestRecord const &record);
+    void sendToTarget(RequestRecord const &record, TargetCommand const &command);
     bool isOfPresentTry(RequestRecord const &record, Endpoint from, std::uint64_t tryId) const;
     std::optional<Timestamp> planRetry(RequestRecord const &record, RequestKey key, Duration retryAfter,
                                        Timestamp now);
--- a/Tests/LibRequests/Harness.h
+++ b/Tests/LibRequests/Harness.h
@@ -79,6 +79,7 @@
             routed.record.id = target;
             routed.record.startMark = startMark;
             routed.record.packetEndpoint = endpointOf(target);
+            routed.record.failureDomain = target == firstTarget ? "zvolen" : "banska";
             routed.record.state = target == firstTarget ? firstState : TargetState::Warm;
             routed.limits = routed.fullLimits = {.slots = slots, .connections = 0};
             routed.dispatcher = target == firstTarget ? self : secondDispatcher;
@@ -91,6 +92,18 @@
         this->board.routingView.update([&](RoutingView const &) { return RoutingView(view); });
     }
 
+    void takeOutFirstDomain()
+    {
+        this->board.configuration.update([](Configuration const &before) {
+            Configuration next = before;
+            ++next.version;
+            next.manifest.failureDomains = {
+                {.name = "banska", .region = "sk"},
+                {.name = "zvolen", .region = "sk", .state = FailureDomainState::TakenOut}};
+            return next;
+        });
+    }
+
     static Request request(std::uint64_t number, RequestClass requestClass, Idempotency idempotency)
     {
         return {.key = {.service = ServiceId{1}, .caller = 1, .number = number},
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(cancelledRequestsEndOnce);
     CPPUNIT_TEST(expiredRequestsGetTrueOutcomes);
     CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
+    CPPUNIT_TEST(targetOfATakenOutDomainGetsNothing);
     CPPUNIT_TEST(stopFinishesWhatIsQueued);
     CPPUNIT_TEST(nothingIsKeptForEver);
     CPPUNIT_TEST(threadsShareOneController);
@@ -207,6 +208,29 @@
         CPPUNIT_ASSERT(harness.refusals().empty() || harness.refusals().at(0).reason == Reason::NoTarget);
     }
 
+    // Guards against queued work, repeats and cancellations that reach a failure domain after operators have
+    // taken it out (R4).
+    void targetOfATakenOutDomainGetsNothing()
+    {
+        Harness harness(1);
+        harness.sendIdempotent(1);
+        harness.send(Harness::request(2, RequestClass::Urgent, Idempotency::Idempotent), 0);
+        auto const runs = harness.runs();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
+        harness.started(runs.at(0));
+        harness.takeOutFirstDomain();
+        std::size_t const sentBefore = harness.toTarget.size();
+        std::size_t const passedOnBefore = harness.toInstance.size();
+        harness.tickFor(100ms);
+        // The waiting request goes to the target of the other failure domain.
+        CPPUNIT_ASSERT(harness.toInstance.size() > passedOnBefore);
+        // An answer that is under way is still handed to its caller.
+        harness.answer(runs.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Harness::only<AnswerPart>(harness.toCaller).size());
+        harness.tickFor(5s);
+        CPPUNIT_ASSERT_EQUAL(sentBefore, harness.toTarget.size());
+    }
+
     // Guards against a planned stop that cuts off requests, or that never ends because new ones arrive.
     void stopFinishesWhatIsQueued()
     {
