--- a/Libraries/LibReplication/ReplicationCore.h
+++ b/Libraries/LibReplication/ReplicationCore.h
@@ -145,6 +145,7 @@
     void recordMatch(FollowerProgress &progress, LogIndex matchIndex);
     void backOff(FollowerProgress &progress, LogConflict conflict);
     FollowerProgress *progressOf(ReplicaId id);
+    FollowerProgress *followerOfReply(ReplicaEnvelope const &envelope, Term term);
     bool hasQuorum(Timestamp now) const;
     void commitByMajority();
     void resolveReads();
--- a/Libraries/LibReplication/ReplicationCoreLeader.cpp
+++ b/Libraries/LibReplication/ReplicationCoreLeader.cpp
@@ -216,16 +216,24 @@
         this->sendHeartbeat(progress);
 }
 
-void ReplicationCore::handle(ReplicaEnvelope const &envelope, AppendReply const &reply, Timestamp now)
+// The follower that a reply of this term comes from; null if the reply does not count. A higher term ends the
+// leadership.
+FollowerProgress *ReplicationCore::followerOfReply(ReplicaEnvelope const &envelope, Term term)
 {
     if (envelope.history.isNone() || this->isEmpty())
-        return;
-    if (reply.term > this->hardState.term) {
-        this->followTerm(reply.term);
-        return;
+        return nullptr;
+    if (term > this->hardState.term) {
+        this->followTerm(term);
+        return nullptr;
     }
-    FollowerProgress *const progress = this->progressOf(envelope.from.id);
-    if (this->role != ReplicaRole::Leader || reply.term < this->hardState.term || progress == nullptr)
+    bool const isCurrent = this->role == ReplicaRole::Leader && term == this->hardState.term;
+    return isCurrent ? this->progressOf(envelope.from.id) : nullptr;
+}
+
+void ReplicationCore::handle(ReplicaEnvelope const &envelope, AppendReply const &reply, Timestamp now)
+{
+    FollowerProgress *const progress = this->followerOfReply(envelope, reply.term);
+    if (progress == nullptr)
         return;
     this->recordReply(*progress, reply.round, now);
     if (reply.verdict == AppendVerdict::Accepted) {
@@ -246,14 +254,8 @@
 
 void ReplicationCore::handle(ReplicaEnvelope const &envelope, SnapshotReply const &reply, Timestamp now)
 {
-    if (envelope.history.isNone() || this->isEmpty())
-        return;
-    if (reply.term > this->hardState.term) {
-        this->followTerm(reply.term);
-        return;
-    }
-    FollowerProgress *const progress = this->progressOf(envelope.from.id);
-    if (this->role != ReplicaRole::Leader || reply.term < this->hardState.term || progress == nullptr)
+    FollowerProgress *const progress = this->followerOfReply(envelope, reply.term);
+    if (progress == nullptr)
         return;
     this->recordReply(*progress, reply.round, now);
     this->resolveReads();
--- a/Libraries/LibState/RoutingView.cpp
+++ b/Libraries/LibState/RoutingView.cpp
@@ -8,8 +8,12 @@
 
 bool ServiceRoutes::hasMovedWithin(std::uint16_t bucket, Duration window, Timestamp now) const
 {
-    auto const moves = std::ranges::equal_range(this->recentMoves, bucket, {}, &BucketMove::bucket);
-    return std::ranges::any_of(moves, [&](BucketMove const &move) { return now - move.at < window; });
+    auto move = std::ranges::lower_bound(this->recentMoves, bucket, {}, &BucketMove::bucket);
+    for (; move != this->recentMoves.end() && move->bucket == bucket; ++move) {
+        if (now - move->at < window)
+            return true;
+    }
+    return false;
 }
 
 std::size_t ServiceRoutes::indexOfTarget(TargetId target, std::uint16_t bucket) const
