Requests: Pass work that reaches a stopping instance on to another target

Cause: gracefulRestartsCutNothing was red: one of 4 downloads was refused "not run" (instance-stopping). By reading, that refusal is only given when a request first reaches an instance whose stop has begun; other instances send new work there until they have heard of the stop, within a second. Not traced over processes.

Change: a stopping instance hands such a request to the dispatcher of another target, under the conditions under which a full one does: no earlier run is possible, no record binds it, and hops are left. Otherwise it refuses as before.

Conclusion: a planned stop turns new work away only if no other target can take it.

--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -66,7 +66,8 @@
     this->store.board().retryBudgets.update(key.service, [](std::optional<RetryBudget> const &budget) {
         return std::optional(earnRetry(budget.value_or(RetryBudget{})));
     });
-    if (this->yieldToHolder(arrived, record, now) || this->refuseAtOnce(key, record, now))
+    if (this->yieldToHolder(arrived, record, now) || this->passOnWhileStopping(key, record, now)
+        || this->refuseAtOnce(key, record, now))
         return;
     if (record.history == RunHistory::Uncertain)
         this->startLocating(key, record, now);
@@ -143,6 +144,16 @@
     return true;
 }
 
+// Other instances learn of a stop within a second and send new work until then, which another target can
+// take.
+bool RequestAdmission::passOnWhileStopping(RequestKey key, RequestRecord const &record, Timestamp now)
+{
+    bool const mayPassOn = this->gate == AdmissionGate::Stopping && record.deadline > now
+        && record.history != RunHistory::Uncertain && !this->isPinned(key, record, now)
+        && record.hops < this->store.times().maxSpillHops;
+    return mayPassOn && this->passToOtherDispatcher(key, record, now);
+}
+
 bool RequestAdmission::refuseAtOnce(RequestKey key, RequestRecord const &record, Timestamp now)
 {
     Reason reason = Reason::None;
--- a/Libraries/LibRequests/RequestAdmission.h
+++ b/Libraries/LibRequests/RequestAdmission.h
@@ -96,6 +96,7 @@
     void handleKnown(RequestRecord const &known, ArrivedRequest const &arrived, Timestamp now);
     RequestRecord firstRecord(ArrivedRequest const &arrived, Timestamp now) const;
     bool mustLocate(RequestRecord const &record, RequestKey key, ForwardPurpose purpose, Timestamp now) const;
+    bool passOnWhileStopping(RequestKey key, RequestRecord const &record, Timestamp now);
     bool refuseAtOnce(RequestKey key, RequestRecord const &record, Timestamp now);
     bool yieldToHolder(ArrivedRequest const &arrived, RequestRecord const &record, Timestamp now);
 
@@ -113,6 +114,7 @@
     Request forwardable(RequestKey key, RequestRecord const &record, Timestamp now) const;
     bool isPinned(RequestKey key, RequestRecord const &record, Timestamp now) const;
     bool spill(RequestKey key, RequestRecord const &record, Timestamp now);
+    bool passToOtherDispatcher(RequestKey key, RequestRecord const &record, Timestamp now);
     bool moveToOwnTarget(RequestKey key, RequestRecord const &record, Timestamp now);
     std::optional<RoutedTarget> chooseSpillTarget(RequestKey key, RequestRecord const &record) const;
     bool isInService(RoutedTarget const &target) const;
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -156,8 +156,11 @@
 {
     if (this->isPinned(key, record, now) || record.hops >= this->store.times().maxSpillHops)
         return false;
-    if (this->moveToOwnTarget(key, record, now))
-        return true;
+    return this->moveToOwnTarget(key, record, now) || this->passToOtherDispatcher(key, record, now);
+}
+
+bool RequestAdmission::passToOtherDispatcher(RequestKey key, RequestRecord const &record, Timestamp now)
+{
     auto const target = this->chooseSpillTarget(key, record);
     if (!target)
         return false;
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(drainingTargetGetsNoQueuedWork);
     CPPUNIT_TEST(targetOfATakenOutDomainGetsNothing);
     CPPUNIT_TEST(stopFinishesWhatIsQueued);
+    CPPUNIT_TEST(stoppingInstancePassesNewWorkOn);
     CPPUNIT_TEST(nothingIsKeptForEver);
     CPPUNIT_TEST(threadsShareOneController);
     CPPUNIT_TEST_SUITE_END();
@@ -246,6 +247,26 @@
         CPPUNIT_ASSERT(harness.controller->isIdle());
     }
 
+    // Guards against a planned stop that turns away work which reached the instance before the others knew of
+    // the stop, although another target can take it.
+    void stoppingInstancePassesNewWorkOn()
+    {
+        Harness harness(1);
+        harness.controller->beginStop(harness.now);
+        for (auto const idempotency : {Idempotency::Idempotent, Idempotency::NonIdempotent}) {
+            std::uint64_t const number = idempotency == Idempotency::Idempotent ? 1 : 2;
+            harness.send(Harness::request(number, RequestClass::Bulk, idempotency), 0);
+            auto const &[receiver, message] = harness.toInstance.back();
+            CPPUNIT_ASSERT(receiver == otherDispatcher);
+            auto const &forwarded = std::get<Forwarded>(message);
+            CPPUNIT_ASSERT(forwarded.purpose == ForwardPurpose::Spill);
+            CPPUNIT_ASSERT_EQUAL(number, std::get<Request>(forwarded.message).key.number);
+        }
+        CPPUNIT_ASSERT(harness.refusals().empty());
+        CPPUNIT_ASSERT(harness.runs().empty());
+        CPPUNIT_ASSERT(harness.controller->isIdle());
+    }
+
     // Guards against request records, replica records and claims that stay for ever.
     void nothingIsKeptForEver()
     {
