Requests: Check that a message was sent before the test looks at it

Change: the test first checks the number of messages. Conclusion: a missing message is now a failed check.

--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -256,6 +256,7 @@
         for (auto const idempotency : {Idempotency::Idempotent, Idempotency::NonIdempotent}) {
             std::uint64_t const number = idempotency == Idempotency::Idempotent ? 1 : 2;
             harness.send(Harness::request(number, RequestClass::Bulk, idempotency), 0);
+            CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(number), harness.toInstance.size());
             auto const &[receiver, message] = harness.toInstance.back();
             CPPUNIT_ASSERT(receiver == otherDispatcher);
             auto const &forwarded = std::get<Forwarded>(message);
