Tests: Fail on a test name that does not exist, and close two gaps

Cause: a test program that was given a wrong test name ran no test and printed OK.

Change: a selection names a suite or a test, and one that matches nothing fails. targetOfATakenOutDomainGetsNothing has a try that stays silent, which must be neither repeated nor cancelled. HttpTest counts the reports.

--- a/Tests/LibFrontEnd/HttpTest.cpp
+++ b/Tests/LibFrontEnd/HttpTest.cpp
@@ -10,6 +10,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -79,7 +80,7 @@
     tcp::acceptor acceptor;
 };
 
-// A server that repeats what it got, and refuses everything below /refused.
+// A server that repeats what it got, with a conflict for everything below /refused and 400 below /malformed.
 class EchoServer
 {
 public:
@@ -88,11 +89,14 @@
                                    {.handle =
                                         [](HttpRequest const &request, HttpRespond const &respond) {
                                             bool const isRefused = request.path.starts_with("/refused");
-                                            respond({.status = isRefused ? 409U : 200U,
+                                            bool const isBad = request.path.starts_with("/malformed");
+                                            respond({.status = isRefused ? 409U
+                                                         : isBad         ? 400U
+                                                                         : 200U,
                                                      .body = request.parameter("name") + request.bearerToken
                                                          + request.body});
                                         },
-                                    .reportRefusal = {}}))
+                                    .reportRefusal = [this](std::string const &) { ++this->reports; }}))
     {
     }
     ~EchoServer() { this->server->close(); }
@@ -119,6 +123,8 @@
     Endpoint endpoint() const { return this->server->localEndpoint(); }
     HttpServerCounters counters() const { return this->server->counters(); }
 
+    std::atomic<int> reports = 0;
+
 private:
     RunningRuntime running;
     std::shared_ptr<HttpServer> server;
@@ -171,6 +177,10 @@
         CPPUNIT_ASSERT(refused.ok());
         CPPUNIT_ASSERT(*refused == (HttpResponse{.status = 409, .body = "no"}));
         CPPUNIT_ASSERT(server.counters() == (HttpServerCounters{.answered = 1, .refused = 1}));
+        // A conflict is no fault of the input, so operators are not warned of it.
+        CPPUNIT_ASSERT_EQUAL(0, server.reports.load());
+        CPPUNIT_ASSERT(server.post("/malformed", "").ok());
+        CPPUNIT_ASSERT_EQUAL(1, server.reports.load());
     }
 
     // Guards against other methods that are taken for a GET, for example a DELETE that reads.
@@ -203,6 +213,7 @@
         client.send("\x16\x03\x01 this is no HTTP\r\n\r\n");
         CPPUNIT_ASSERT_EQUAL(std::string(), client.readAll());
         CPPUNIT_ASSERT(server.counters() == HttpServerCounters{.malformed = 1});
+        CPPUNIT_ASSERT_EQUAL(1, server.reports.load());
         CPPUNIT_ASSERT(server.post("/echo", "still here").ok());
     }
 
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -214,12 +214,12 @@
     // taken it out (R4).
     void targetOfATakenOutDomainGetsNothing()
     {
-        Harness harness(1);
+        Harness harness(2);
         harness.sendIdempotent(1);
-        harness.send(Harness::request(2, RequestClass::Urgent, Idempotency::Idempotent), 0);
+        harness.sendIdempotent(2);
+        harness.send(Harness::request(3, RequestClass::Urgent, Idempotency::Idempotent), 0);
         auto const runs = harness.runs();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
-        harness.started(runs.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs.size());
         harness.takeOutFirstDomain();
         std::size_t const sentBefore = harness.toTarget.size();
         std::size_t const passedOnBefore = harness.toInstance.size();
@@ -229,8 +229,10 @@
         // An answer that is under way is still handed to its caller.
         harness.answer(runs.at(0));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Harness::only<AnswerPart>(harness.toCaller).size());
+        // The try that stays silent is neither repeated nor cancelled, and ends unknown at its deadline.
         harness.tickFor(5s);
         CPPUNIT_ASSERT_EQUAL(sentBefore, harness.toTarget.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.unknowns().at(0).key.number);
     }
 
     // Guards against a planned stop that cuts off requests, or that never ends because new ones arrive.
--- a/Tests/TestMain.cpp
+++ b/Tests/TestMain.cpp
@@ -1,5 +1,5 @@
-// Entry point shared by all test programs: runs every registered CppUnit test but the known red ones, or the
-// one test that the first argument names as Suite::test.
+// Entry point shared by all test programs: runs every registered CppUnit test but the known red ones, or
+// those that the first argument names as Suite or Suite::test.
 
 #include <cppunit/TestSuite.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
@@ -33,21 +33,25 @@
     return name.starts_with(prefix) ? name.substr(prefix.size()) : name;
 }
 
-void addTests(CppUnit::Test *test, CppUnit::TextUi::TestRunner &runner, std::string const &onlyTest,
-              std::set<std::string> const &passedOver)
+// Returns how many tests were added.
+int addTests(CppUnit::Test *test, CppUnit::TextUi::TestRunner &runner, std::string const &selection,
+             std::set<std::string> const &passedOver)
 {
+    int added = 0;
     if (test->getChildTestCount() > 0) {
         for (int index = 0; index < test->getChildTestCount(); ++index)
-            addTests(test->getChildTestAt(index), runner, onlyTest, passedOver);
-        return;
+            added += addTests(test->getChildTestAt(index), runner, selection, passedOver);
+        return added;
     }
     std::string const name = shortName(*test);
-    if (onlyTest.empty() && passedOver.contains(name)) {
+    if (selection.empty() && passedOver.contains(name)) {
         std::cout << "known red, passed over: " << name << '\n';
-        return;
+        return 0;
     }
-    if (onlyTest.empty() || onlyTest == name)
-        runner.addTest(test);
+    if (!selection.empty() && selection != name && !name.starts_with(selection + "::"))
+        return 0;
+    runner.addTest(test);
+    return 1;
 }
 
 } // namespace
@@ -61,6 +65,11 @@
     // Both the runner and the suites would delete the tests, so neither is deleted before the process ends.
     static CppUnit::Test *const allTests = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
     static auto *const runner = new CppUnit::TextUi::TestRunner;
-    addTests(allTests, *runner, argumentCount > 1 ? arguments[1] : "", knownRedTests());
+    std::string const selection = argumentCount > 1 ? arguments[1] : "";
+    // A wrong name must not look like a pass.
+    if (addTests(allTests, *runner, selection, knownRedTests()) == 0) {
+        std::cerr << "no such test: " << selection << '\n';
+        return EXIT_FAILURE;
+    }
     return runner->run() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
