Operators: Resend a change in one place, for 15 s

Cause: almondwingctl and almondwingd both repeated a change while no leader was known: the daemon for 5 s, and the tool 5 times around it, so the delays multiplied. The mutation "the daemon does not wait" survived all tests.

Change: almondwingd asks each control instance once and answers. almondwingctl sends the change again for 15 s with the same request id: an election takes up to 4 s and a split vote repeats it.

Mutations: no resend window turns changeDuringAnElectionIsAccepted red; a dead control instance taken for one that may have the change under way turns changeWithoutMajorityIsRefused red.

Conclusion: one rule for resending, with the request id that makes it harmless.

--- a/Services/almondwingd/ControlApi.cpp
+++ b/Services/almondwingd/ControlApi.cpp
@@ -30,8 +30,6 @@
 
 // A change waits for a majority; an election in between takes up to 4 s.
 constexpr Duration changeTimeout = 8s;
-constexpr Duration leaderWait = 5s;
-constexpr Duration leaderRetryInterval = 250ms;
 constexpr Duration coverageTimeout = 1s;
 constexpr std::size_t defaultAuditLimit = 100;
 
@@ -95,11 +93,6 @@
     return target;
 }
 
-bool isPassedOn(HttpRequest const &request)
-{
-    return !request.parameter(passedOnParameter).empty();
-}
-
 } // namespace
 
 ControlApi::ControlApi(IoRuntime &ioRuntime, DaemonSettings const &daemonSettings, Instance &servedInstance,
@@ -201,88 +194,77 @@
     auto &change = std::get<ChangeRequest>(parsed);
     change.operatorName = *operatorName;
     change.submittedAt = std::time(nullptr);
-    this->tryChange(PendingChange{.change = std::move(change),
-                                  .request = request,
-                                  .respond = respond,
-                                  .retryUntil = IoRuntime::now() + leaderWait});
-}
-
-void ControlApi::tryChange(PendingChange const &pending)
-{
     if (this->node != nullptr)
-        this->submitHere(pending);
+        this->submitHere(change, request, respond);
     else
-        this->passOnChange(pending, this->otherControlInstances(), PassOnState::NotDone);
+        this->passOnChange(request, this->otherControlInstances(), PassOnState::NotDone, respond);
 }
 
-void ControlApi::submitHere(PendingChange const &pending)
+void ControlApi::submitHere(ChangeRequest const &change, HttpRequest const &request,
+                            HttpRespond const &respond)
 {
-    this->node->submit(pending.change, [this, pending](absl::StatusOr<ChangeOutcome> const &outcome) {
+    this->node->submit(change, [this, request, respond](absl::StatusOr<ChangeOutcome> const &outcome) {
         if (outcome.ok()) {
-            pending.respond(outcomeResponse(*outcome));
+            respond(outcomeResponse(*outcome));
             return;
         }
         if (absl::IsUnknown(outcome.status())) {
-            pending.respond(errorResponse(statusGatewayTimeout, std::string(outcome.status().message())));
+            respond(errorResponse(statusGatewayTimeout, std::string(outcome.status().message())));
             return;
         }
         auto const leader = this->node->status().leader;
         auto const peer = std::ranges::find_if(this->settings.peers, [&](PeerSettings const &candidate) {
             return leader && candidate.name == leader->instance;
         });
-        bool const mayPassOn = peer != this->settings.peers.end() && !isPassedOn(pending.request);
+        bool const mayPassOn =
+            peer != this->settings.peers.end() && request.parameter(passedOnParameter).empty();
         if (mayPassOn)
-            this->passOnChange(pending, {peer->http}, PassOnState::NotDone);
+            this->passOnChange(request, {peer->http}, PassOnState::NotDone, respond);
         else
-            this->retryOrRefuse(pending, std::string(outcome.status().message()));
+            respond(errorResponse(
+                statusUnavailable,
+                fmt::format("nothing was changed: {}", std::string(outcome.status().message()))));
     });
 }
 
 // Tries the servers one after the other. The request id makes a second try harmless: the log gives it the
 // outcome of the first. After a timeout "nothing was changed" is no longer certain, so the last answer says
 // unknown.
-void ControlApi::passOnChange(PendingChange const &pending, std::vector<Endpoint> servers, PassOnState state)
+void ControlApi::passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, PassOnState state,
+                              HttpRespond const &respond)
 {
     if (servers.empty()) {
-        if (state == PassOnState::NotDone)
-            this->retryOrRefuse(pending, "no control instance could take the change");
-        else
-            pending.respond(errorResponse(
-                statusGatewayTimeout,
-                "a control instance did not answer in time and no other could take the change, so the "
-                "outcome is not known; resend the change with the same request id"));
+        respond(state == PassOnState::NotDone
+                    ? errorResponse(statusUnavailable,
+                                    "no control instance could take the change; nothing was changed")
+                    : errorResponse(
+                        statusGatewayTimeout,
+                        "a control instance did not answer in time and no other could take the change, so "
+                        "the outcome is not known; resend the change with the same request id"));
         return;
     }
     Endpoint const server = servers.front();
     servers.erase(servers.begin());
     HttpCall const call{.server = server,
                         .method = HttpMethod::Post,
-                        .target = passedOnTarget(pending.request),
-                        .body = pending.request.body,
-                        .bearerToken = pending.request.bearerToken,
+                        .target = passedOnTarget(request),
+                        .body = request.body,
+                        .bearerToken = request.bearerToken,
                         .timeout = changeTimeout};
     callHttp(this->runtime, call,
-             [this, pending, rest = std::move(servers), state](absl::StatusOr<HttpResponse> const &response) {
+             [this, request, rest = std::move(servers), state,
+              respond](absl::StatusOr<HttpResponse> const &response) {
                  bool const isRefused = response.ok() && response->status == statusUnavailable;
                  // A connection that could not be made, and a refusal, leave nothing under way.
                  bool const isCertain = isRefused || absl::IsUnavailable(response.status());
                  if (response.ok() && !isRefused && response->status != statusGatewayTimeout)
-                     pending.respond(*response);
+                     respond(*response);
                  else
-                     this->passOnChange(pending, rest, isCertain ? state : PassOnState::MayBeUnderWay);
+                     this->passOnChange(request, rest, isCertain ? state : PassOnState::MayBeUnderWay,
+                                        respond);
              });
 }
 
-// An election is no reason to refuse, so the instance that the operator asked tries again until one must be
-// over. Instances that got the change passed on leave this to the first one.
-void ControlApi::retryOrRefuse(PendingChange const &pending, std::string const &reason)
-{
-    if (!isPassedOn(pending.request) && IoRuntime::now() + leaderRetryInterval < pending.retryUntil)
-        this->runtime.runAfter(leaderRetryInterval, [this, pending] { this->tryChange(pending); });
-    else
-        pending.respond(errorResponse(statusUnavailable, fmt::format("nothing was changed: {}", reason)));
-}
-
 HttpResponse ControlApi::explain(HttpRequest const &request) const
 {
     std::string const service = request.parameter("service");
--- a/Services/almondwingd/ControlApi.h
+++ b/Services/almondwingd/ControlApi.h
@@ -13,7 +13,6 @@
 #include <LibSettings/DaemonSettings.h>
 
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace almondwing {
@@ -28,23 +27,14 @@
     void handle(HttpRequest const &request, HttpRespond const &respond);
 
 private:
-    struct PendingChange
-    {
-        ChangeRequest change;
-        HttpRequest request;
-        HttpRespond respond;
-        Timestamp retryUntil;
-    };
-
     // Whether an earlier server may have the change under way.
     enum class PassOnState { NotDone, MayBeUnderWay };
 
     void handleAnnouncement(HttpRequest const &request, HttpRespond const &respond);
     void handleChange(HttpRequest const &request, HttpRespond const &respond);
-    void tryChange(PendingChange const &pending);
-    void submitHere(PendingChange const &pending);
-    void passOnChange(PendingChange const &pending, std::vector<Endpoint> servers, PassOnState state);
-    void retryOrRefuse(PendingChange const &pending, std::string const &reason);
+    void submitHere(ChangeRequest const &change, HttpRequest const &request, HttpRespond const &respond);
+    void passOnChange(HttpRequest const &request, std::vector<Endpoint> servers, PassOnState state,
+                      HttpRespond const &respond);
     void handleCoverage(HttpRequest const &request, HttpRespond const &respond);
     void handleAudit(HttpRequest const &request, HttpRespond const &respond);
     void passOnQuestion(HttpRequest const &request, std::vector<Endpoint> servers,
--- a/Utilities/almondwingctl/ChangeCommand.cpp
+++ b/Utilities/almondwingctl/ChangeCommand.cpp
@@ -21,8 +21,9 @@
 namespace {
 
 constexpr Duration changeTimeout = 20s;
-constexpr int resendLimit = 5;
 constexpr Duration resendDelay = 1s;
+// An election takes up to 4 s, and a split vote repeats it; three in a row are rare.
+constexpr Duration resendWindow = 15s;
 constexpr Duration coverageInterval = 200ms;
 
 void waitFor(Duration delay)
@@ -51,8 +52,9 @@
 {
     HttpCall const call{
         .method = HttpMethod::Post, .target = "/v1/changes", .body = body, .timeout = changeTimeout};
+    Timestamp const end = IoRuntime::now() + resendWindow;
     auto response = callServers(client, call);
-    for (int resend = 0; resend < resendLimit && mayResend(response); ++resend) {
+    while (mayResend(response) && IoRuntime::now() < end) {
         waitFor(resendDelay);
         response = callServers(client, call);
     }
