Requests: Let only a request that is alone skip the check of the time left

Cause: an idle target is exempt from the check that a request can end before its deadline, so that a service time that was measured too long is corrected. A target with one slot is idle after each run. Under overload it started the oldest waiting request each time, which then expired without an answer.

Change: the exemption is for a request that has no other in front of it. The check knows whether the request that is judged stands in the queue itself.

Figures: lateWorkIsNotStarted now runs with one slot, too: red with the exemption for every idle target, green now. With no exemption at all hopelessRequestsAreRefusedEarly is red.

Conclusion: the ramp of a cold target does not spend its first slot on work that ends unanswered.

--- a/Libraries/LibRequests/QueuePolicy.cpp
+++ b/Libraries/LibRequests/QueuePolicy.cpp
@@ -13,6 +13,14 @@
     return static_cast<std::size_t>(requestClass);
 }
 
+std::size_t waitingUpTo(RequestClass requestClass, RequestQueue const &queue)
+{
+    std::size_t waiting = 0;
+    for (std::size_t index = 0; index <= indexOf(requestClass); ++index)
+        waiting += queue.waiting[index].size();
+    return waiting;
+}
+
 bool hasPriorityWork(RequestQueue const &queue)
 {
     return !queue.waiting[indexOf(RequestClass::Urgent)].empty()
@@ -71,26 +79,23 @@
     bool const isBlocked = now < usage.inheritedUntil && usage.inheritedSlots >= slots;
     Duration const blocked = isBlocked ? usage.inheritedUntil - now : Duration::zero();
     Duration work{};
-    std::size_t ahead = 0;
-    for (std::size_t index = 0; index <= indexOf(requestClass); ++index) {
-        auto const waiting = queue.waiting[index].size();
-        ahead += waiting;
-        work += queue.serviceTime[index] * static_cast<Duration::rep>(waiting);
-    }
-    if (ahead == 0 && occupied < slots)
+    for (std::size_t index = 0; index <= indexOf(requestClass); ++index)
+        work += queue.serviceTime[index] * static_cast<Duration::rep>(queue.waiting[index].size());
+    if (waitingUpTo(requestClass, queue) == 0 && occupied < slots)
         return Duration::zero();
     // The tries in progress end, on average, after half the longest of the known service times.
     work += std::ranges::max(queue.serviceTime) * static_cast<Duration::rep>(std::min(occupied, slots)) / 2;
     return std::max(work / slots, blocked);
 }
 
-bool hasTimeToRun(RequestClass requestClass, Duration timeLeft, Duration wait, RequestQueue const &queue,
-                  TargetUsage const &usage, RequestSettings const &settings)
+bool hasTimeToRun(RequestClass requestClass, Duration timeLeft, Duration wait, QueueMembership membership,
+                  RequestQueue const &queue, TargetUsage const &usage, RequestSettings const &settings)
 {
     if (settings.deadlineChecks == DeadlineChecks::Off)
         return true;
-    bool const isIdle = wait == Duration::zero() && usage.busySlots == 0;
-    Duration const needed = isIdle ? Duration::zero() : wait + queue.serviceTime[indexOf(requestClass)];
+    std::size_t const own = membership == QueueMembership::Waiting ? 1 : 0;
+    bool const isAlone = waitingUpTo(requestClass, queue) <= own && usage.busySlots == 0;
+    Duration const needed = isAlone ? wait : wait + queue.serviceTime[indexOf(requestClass)];
     return needed <= timeLeft;
 }
 
@@ -101,7 +106,7 @@
     Duration const wait = expectedWait(requestClass, queue, usage, limits, now);
     if (queue.waiting[indexOf(requestClass)].size() >= settings.queueBound)
         return {.place = QueuePlace::QueueFull, .wait = wait};
-    if (!hasTimeToRun(requestClass, timeLeft, wait, queue, usage, settings))
+    if (!hasTimeToRun(requestClass, timeLeft, wait, QueueMembership::Arriving, queue, usage, settings))
         return {.place = QueuePlace::DeadlineTooShort, .wait = wait};
     return {.place = QueuePlace::Reserved, .wait = wait};
 }
--- a/Libraries/LibRequests/QueuePolicy.h
+++ b/Libraries/LibRequests/QueuePolicy.h
@@ -39,11 +39,15 @@
 Duration expectedWait(RequestClass requestClass, RequestQueue const &queue, TargetUsage const &usage,
                       TargetLimits limits, Timestamp now);
 
+// Whether the request that is judged stands in the queue itself.
+enum class QueueMembership : std::uint8_t { Arriving, Waiting };
+
 // Whether a request that starts after the wait can be expected to be answered in the time left. One that
-// could only start would hold a slot until its deadline and give no answer. On an idle target it runs all the
-// same, so that a service time that was measured too long is corrected.
-bool hasTimeToRun(RequestClass requestClass, Duration timeLeft, Duration wait, RequestQueue const &queue,
-                  TargetUsage const &usage, RequestSettings const &settings);
+// could only start would hold a slot until its deadline and give no answer. The only request of an idle
+// target runs all the same, so that a service time that was measured too long is corrected. A target with one
+// slot is idle after each run, so idleness alone must not be enough.
+bool hasTimeToRun(RequestClass requestClass, Duration timeLeft, Duration wait, QueueMembership membership,
+                  RequestQueue const &queue, TargetUsage const &usage, RequestSettings const &settings);
 
 enum class QueuePlace : std::uint8_t { Reserved, QueueFull, DeadlineTooShort };
 
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -55,8 +55,8 @@
         auto const isReadyHere = [&](RequestKey key) {
             auto const record = this->store.find(key);
             return record && this->isReady(*record, target, now)
-                && hasTimeToRun(record->requestClass, record->deadline - now, Duration::zero(), queue, usage,
-                                this->store.times());
+                && hasTimeToRun(record->requestClass, record->deadline - now, Duration::zero(),
+                                QueueMembership::Waiting, queue, usage, this->store.times());
         };
         auto const key = nextToStart(queue, isReadyHere, usage, routed->limits, this->store.times(), now);
         auto const record = key ? this->store.find(*key) : std::nullopt;
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -274,21 +274,22 @@
     // Guards against waiting work that takes a slot shortly before its deadline and ends without an answer.
     void lateWorkIsNotStarted()
     {
-        Harness harness(2);
-        for (std::uint64_t number = 1; number <= 3; ++number)
-            harness.sendIdempotent(number);
-        auto const runs = harness.runs();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs.size());
-        for (RunRequest const &run : runs)
-            harness.started(run);
-        harness.tickFor(1500ms);
-        harness.answer(runs.at(0)); // The service time is known now, and 500 ms are left for the third.
-        harness.tickFor(1s);
-        CPPUNIT_ASSERT(
-            std::ranges::none_of(harness.runs(), [](RunRequest const &run) { return run.key.number == 3; }));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, harness.refusals().at(0).key.number);
-        CPPUNIT_ASSERT(harness.refusals().at(0).reason == Reason::DeadlinePassed);
+        // A target with one slot is idle after each run.
+        for (std::uint32_t const slots : {1U, 2U}) {
+            Harness harness(slots);
+            for (std::uint64_t number = 1; number <= slots + 2; ++number)
+                harness.sendIdempotent(number);
+            auto const runs = harness.runs();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{slots}, runs.size());
+            for (RunRequest const &run : runs)
+                harness.started(run);
+            harness.tickFor(1500ms);
+            harness.answer(runs.at(0)); // The service time is known now, and the others have 500 ms left.
+            harness.tickFor(1s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{slots}, harness.runs().size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+            CPPUNIT_ASSERT(harness.refusals().at(0).reason == Reason::DeadlinePassed);
+        }
     }
 
     // Guards against request records, replica records and claims that stay for ever.
