Requests: Do not spill a request back to the instance that it came from

Cause: an instance whose queue was full spilled a request to any other dispatcher, also to the one that had spilled it there. That one holds it as handed elsewhere and passes it on, so it went back and forth until the limit of hops and ended as unknown (dispatcher-lost), although it had not run.

Change: the record keeps who spilled the request, and that instance is left out of the choice. handleRequest takes an ArrivedRequest, which names the origin.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -185,8 +185,13 @@
 void CallerRouter::decideRequest(Forwarded const &forwarded, TargetId target, Timestamp now)
 {
     if (auto const *const request = std::get_if<Request>(&forwarded.message))
-        this->controllers.requests.handleRequest(forwarded.caller, *request, target, forwarded.purpose,
-                                                 forwarded.hops, now);
+        this->controllers.requests.handleRequest({.caller = forwarded.caller,
+                                                  .request = *request,
+                                                  .target = target,
+                                                  .purpose = forwarded.purpose,
+                                                  .hops = forwarded.hops,
+                                                  .origin = forwarded.origin},
+                                                 now);
     else if (auto const *const cancel = std::get_if<CancelRequest>(&forwarded.message))
         this->controllers.requests.handleCancel(forwarded.caller, *cancel, forwarded.hops, now);
     else if (auto const *const resend = std::get_if<ResendParts>(&forwarded.message))
--- a/Libraries/LibMessages/PeerMessages.h
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -85,7 +85,7 @@
     Endpoint caller;
     ForwardPurpose purpose = ForwardPurpose::Deliver;
     std::uint8_t hops = 0; // Bounds loops while views differ.
-    InstanceId origin; // For a search: the dispatcher that gets the message back at its end.
+    InstanceId origin; // The instance that passed it on; a search comes back to it at its end.
     std::vector<TargetId> candidates; // Targets still to visit, the next one first.
     // For a search: whether the origin knows all flows of its own target. If it does, an unknown flow can
     // only belong to a candidate whose dispatcher has lost records.
--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -25,6 +25,8 @@
     record.requestClass = arrived.request.requestClass;
     record.idempotency = arrived.request.idempotency;
     record.hops = arrived.hops;
+    if (arrived.purpose == ForwardPurpose::Spill)
+        record.spilledBy = arrived.origin;
     record.deadline = now + std::min(arrived.request.timeLeft, this->store.times().longestDeadline);
     record.payload = std::make_shared<std::string const>(arrived.request.payload);
     record.phaseSince = now;
--- a/Libraries/LibRequests/RequestAdmission.h
+++ b/Libraries/LibRequests/RequestAdmission.h
@@ -54,6 +54,7 @@
     TargetId target;
     ForwardPurpose purpose = ForwardPurpose::Deliver;
     std::uint8_t hops = 0;
+    InstanceId origin; // The instance that passed it on, if any.
 
     friend bool operator==(ArrivedRequest const &, ArrivedRequest const &) = default;
 };
--- a/Libraries/LibRequests/RequestController.cpp
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -18,11 +18,8 @@
 {
 }
 
-void RequestController::handleRequest(Endpoint caller, Request const &request, TargetId target,
-                                      ForwardPurpose purpose, std::uint8_t hops, Timestamp now)
+void RequestController::handleRequest(ArrivedRequest const &arrived, Timestamp now)
 {
-    ArrivedRequest const arrived{
-        .caller = caller, .request = request, .target = target, .purpose = purpose, .hops = hops};
     this->admission.handle(arrived, now);
 }
 
--- a/Libraries/LibRequests/RequestController.h
+++ b/Libraries/LibRequests/RequestController.h
@@ -30,8 +30,7 @@
                       RandomSource randomSource);
 
     // This instance must be the dispatcher of the target. With purpose Search the request must be known here.
-    void handleRequest(Endpoint caller, Request const &request, TargetId target, ForwardPurpose purpose,
-                       std::uint8_t hops, Timestamp now);
+    void handleRequest(ArrivedRequest const &arrived, Timestamp now);
 
     // Whether a search for the request ends here.
     bool isKnown(RequestKey key) const;
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -205,7 +205,9 @@
     InstanceId const self = this->store.self();
     std::vector<RoutedTarget const *> candidates;
     for (RoutedTarget const &target : routes->targets) {
-        if (target.record.id != record.target && target.dispatcher != self && this->isInService(target))
+        // The instance that spilled it here holds it as handed elsewhere and would only pass it back.
+        if (target.record.id != record.target && target.dispatcher != self
+            && target.dispatcher != record.spilledBy && this->isInService(target))
             candidates.push_back(&target);
     }
     if (candidates.empty())
--- a/Libraries/LibState/RequestRecord.h
+++ b/Libraries/LibState/RequestRecord.h
@@ -75,6 +75,7 @@
     RequestClass requestClass = RequestClass::Interactive;
     Idempotency idempotency = Idempotency::NonIdempotent;
     std::uint8_t hops = 0;
+    InstanceId spilledBy; // The instance that spilled it here, or none.
     Timestamp deadline;
     std::shared_ptr<std::string const> payload; // Dropped when the request has finished.
 
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -257,7 +257,12 @@
     bool const isHandledHere = isSearch || forwarded.purpose == ForwardPurpose::SearchEnded
         || (routed != nullptr && routed->dispatcher == at.id);
     if (isHandledHere)
-        at.controller->handleRequest(forwarded.caller, *request, target, forwarded.purpose, forwarded.hops,
+        at.controller->handleRequest({.caller = forwarded.caller,
+                                      .request = *request,
+                                      .target = target,
+                                      .purpose = forwarded.purpose,
+                                      .hops = forwarded.hops,
+                                      .origin = forwarded.origin},
                                      this->now);
     else if (routed != nullptr && !routed->dispatcher.isNone() && forwarded.hops < 6) {
         ++forwarded.hops;
--- a/Tests/LibRequests/Harness.h
+++ b/Tests/LibRequests/Harness.h
@@ -116,8 +116,8 @@
 
     void send(Request const &request, std::uint8_t hops = 2)
     {
-        this->controller->handleRequest(callerEndpoint, request, firstTarget, ForwardPurpose::Deliver, hops,
-                                        this->now);
+        this->controller->handleRequest(
+            {.caller = callerEndpoint, .request = request, .target = firstTarget, .hops = hops}, this->now);
     }
 
     Request sendIdempotent(std::uint64_t number, RequestClass requestClass = RequestClass::Urgent)
--- a/Tests/LibRequests/LateAnswerTest.cpp
+++ b/Tests/LibRequests/LateAnswerTest.cpp
@@ -68,7 +68,7 @@
                               .idempotency = Idempotency::Idempotent,
                               .timeLeft = timeLeft,
                               .payload = "x"};
-        this->controller->handleRequest(callerEndpoint, request, target, ForwardPurpose::Deliver, 0,
+        this->controller->handleRequest({.caller = callerEndpoint, .request = request, .target = target},
                                         this->now);
         return std::get<RunRequest>(this->toTarget.back());
     }
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -106,8 +106,8 @@
         Harness harness;
         harness.setView(2, TargetState::Warm, self);
         auto const request = Harness::request(1, RequestClass::Urgent, Idempotency::NonIdempotent);
-        harness.controller->handleRequest(callerEndpoint, request, secondTarget, ForwardPurpose::Deliver, 0,
-                                          harness.now);
+        harness.controller->handleRequest(
+            {.caller = callerEndpoint, .request = request, .target = secondTarget}, harness.now);
         CPPUNIT_ASSERT(std::holds_alternative<Locate>(harness.toInstance.back().second));
     }
 
@@ -136,6 +136,18 @@
         for (std::uint64_t number = 20; number <= 40; ++number)
             harness.sendIdempotent(number);
         CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::QueueFull);
+        // One that was spilled here is refused and does not go back, where it would only be passed on.
+        harness.toInstance.clear();
+        auto const arrived = Harness::request(41, RequestClass::Urgent, Idempotency::Idempotent);
+        harness.controller->handleRequest({.caller = callerEndpoint,
+                                           .request = arrived,
+                                           .target = firstTarget,
+                                           .purpose = ForwardPurpose::Spill,
+                                           .hops = 1,
+                                           .origin = otherDispatcher},
+                                          harness.now);
+        CPPUNIT_ASSERT(harness.toInstance.empty());
+        CPPUNIT_ASSERT(harness.refusals().back().key == arrived.key);
     }
 
     // Guards against a former dispatcher that starts a request which outlasts the time for which its
