Requests: Let targets confirm the end of a try without an answer

Cause: a target had no way to say that it ended a try after a cancellation or at its deadline: Shed means that the try did not run. The dispatcher counted the slot as busy until 5 s after the deadline, for a cancelled download up to a minute. The target stand-in also sent the last part of an answer before it freed the slot.

Change: message RunEnded from targets; the outcome is unknown and the slot is free at once. The target stand-in sends it at the end of a cancelled or expired try and for each repeat, and frees the slot before the last part leaves. The targets of the property tests honour cancellation.

Conclusion: cancelled work gives its slot back.

--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -36,6 +36,8 @@
         this->requests.handleTargetMessage(from, *started, now);
     else if (auto const *const shed = std::get_if<Shed>(&message))
         this->requests.handleTargetMessage(from, *shed, now);
+    else if (auto const *const ended = std::get_if<RunEnded>(&message))
+        this->requests.handleTargetMessage(from, *ended, now);
     else if (auto const *const part = std::get_if<AnswerPart>(&message))
         this->requests.handleTargetMessage(from, *part, now);
     else
--- a/Libraries/LibMessages/PeerMessages.h
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -70,7 +70,7 @@
     std::variant<FlowAccepted, FlowRefused, FlowData, FlowBroken, AnswerPart, NotRun, OutcomeUnknown>;
 using TargetCommand = std::variant<OpenFlow, FlowData, CloseFlow, RunRequest, CancelRequest, ResendParts>;
 using TargetMessage =
-    std::variant<FlowAccepted, FlowRefused, FlowData, FlowBroken, RequestStarted, Shed, AnswerPart>;
+    std::variant<FlowAccepted, FlowRefused, FlowData, FlowBroken, RequestStarted, Shed, RunEnded, AnswerPart>;
 
 enum class ForwardPurpose : std::uint8_t {
     Deliver = 0, // The receiver is the dispatcher of the target that the sender's bucket table names.
--- a/Libraries/LibMessages/RequestMessages.h
+++ b/Libraries/LibMessages/RequestMessages.h
@@ -74,6 +74,16 @@
     friend bool operator==(Shed const &, Shed const &) = default;
 };
 
+// From a target: the try ended without an answer, after a cancellation or at its deadline, and its slot is
+// free. It may have run in part.
+struct RunEnded
+{
+    RequestKey key;
+    std::uint64_t tryId = 0;
+
+    friend bool operator==(RunEnded const &, RunEnded const &) = default;
+};
+
 // From a caller (try id 0) or a dispatcher: the answer is no longer wanted.
 struct CancelRequest
 {
--- a/Libraries/LibRequests/RequestController.cpp
+++ b/Libraries/LibRequests/RequestController.cpp
@@ -78,6 +78,8 @@
         this->runner.handleStarted(from, *started, now);
     else if (auto const *const shed = std::get_if<Shed>(&message))
         this->runner.handleShed(from, *shed, now);
+    else if (auto const *const ended = std::get_if<RunEnded>(&message))
+        this->runner.handleEnded(from, *ended, now);
     else if (auto const *const part = std::get_if<AnswerPart>(&message))
         this->runner.handlePart(from, *part, now);
 }
--- a/Libraries/LibRequests/RequestController.h
+++ b/Libraries/LibRequests/RequestController.h
@@ -20,7 +20,7 @@
 
 namespace almondwing {
 
-using RequestTargetMessage = std::variant<RequestStarted, Shed, AnswerPart>;
+using RequestTargetMessage = std::variant<RequestStarted, Shed, RunEnded, AnswerPart>;
 using RequestPeerMessage = std::variant<RecordRequest, RecordReply, RecordRelease, Locate, LocateReply>;
 
 class RequestController
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -238,6 +238,38 @@
         this->freeSlotOf(message.key, *record, now);
 }
 
+void TryRunner::handleEnded(Endpoint from, RunEnded const &message, Timestamp now)
+{
+    SlotUse slotBefore = SlotUse::None;
+    RequestPhase phaseBefore = RequestPhase::Finished;
+    auto const record =
+        this->store.change(message.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!this->isOfPresentTry(current, from, message.tryId))
+                return std::nullopt;
+            slotBefore = current.slot;
+            phaseBefore = current.phase;
+            RequestRecord next = current;
+            next.slot = SlotUse::None;
+            if (current.phase != RequestPhase::Running)
+                return next;
+            bool const isCancelled = current.cancelReason != Reason::None;
+            return this->outcomes.finished(
+                next,
+                {.outcome = RequestOutcome::Unknown,
+                 .reason = isCancelled ? current.cancelReason : Reason::DeadlinePassed},
+                now);
+        });
+    if (!record)
+        return;
+    if (phaseBefore == RequestPhase::Running) {
+        if (record->reason == Reason::DeadlinePassed)
+            this->store.countEvent(record->target, SlotEvent::TimedOut, now);
+        this->outcomes.announce(message.key, *record);
+    }
+    if (slotBefore == SlotUse::Held)
+        this->freeSlotOf(message.key, *record, now);
+}
+
 void TryRunner::moveToWaiting(RequestKey key, RequestRecord const &record)
 {
     this->store.changeQueue(record.target, [&](RequestQueue queue) {
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -1,8 +1,8 @@
 // Starts tries at targets and follows them to their end: slots, repeats, answers, sheds, cancellation.
 //
 // A slot is taken before a try is sent and given back by the one change of the record that sets its `slot`
-// to None: when the target confirmed the end (Shed or the last part), or when the grace time after the
-// deadline is over.
+// to None: when the target confirmed the end (Shed, RunEnded or the last part), or when the grace time after
+// the deadline is over.
 
 #pragma once
 
@@ -24,6 +24,7 @@
 
     void handleStarted(Endpoint from, RequestStarted const &message, Timestamp now);
     void handleShed(Endpoint from, Shed const &message, Timestamp now);
+    void handleEnded(Endpoint from, RunEnded const &message, Timestamp now);
     void handlePart(Endpoint from, AnswerPart const &part, Timestamp now);
 
     // The caller no longer wants the answer.
--- a/Libraries/LibStandIns/TargetRuns.cpp
+++ b/Libraries/LibStandIns/TargetRuns.cpp
@@ -53,7 +53,7 @@
         return;
     case TryState::Cancelled:
     case TryState::Expired:
-        // It may have run in part, so nothing true can be said.
+        this->hooks.send(from, RunEnded{.key = message.key, .tryId = message.tryId});
         return;
     }
 }
@@ -148,6 +148,8 @@
         return;
     this->releaseSlot();
     count(this->board, [](TargetCounts &counts) { ++counts.runsExpired; });
+    if (auto const known = this->board.tries.read(tryId))
+        this->hooks.send(known->value.from, RunEnded{.key = known->value.key, .tryId = tryId});
 }
 
 void TargetRuns::sendBurst(std::uint64_t tryId, std::uint32_t firstPart)
@@ -163,17 +165,18 @@
     TargetTry const &entry = known->value;
     std::uint32_t const partCount = answerPartCount(entry.answerSize);
     std::uint32_t const endPart = std::min(partCount, firstPart + this->traits.burstParts);
+    // The slot is free before the last part leaves: a dispatcher that gets it may start the next run at once.
+    if (endPart == partCount && entry.state == TryState::Answering) {
+        if (!this->moveState(tryId, TryState::Answering, TryState::Answered))
+            return;
+        this->releaseSlot();
+        count(this->board, [](TargetCounts &counts) { ++counts.runsAnswered; });
+    }
     for (std::uint32_t part = firstPart; part < endPart; ++part)
         this->hooks.send(entry.from, makeAnswerPart(entry.key, tryId, entry.answerSize, part));
-    if (endPart < partCount) {
+    if (endPart < partCount)
         this->hooks.schedule(this->traits.burstInterval,
                              [this, tryId, endPart] { this->sendBurst(tryId, endPart); });
-        return;
-    }
-    if (!this->moveState(tryId, TryState::Answering, TryState::Answered))
-        return;
-    this->releaseSlot();
-    count(this->board, [](TargetCounts &counts) { ++counts.runsAnswered; });
 }
 
 void TargetRuns::handleCancel(Timestamp now, Endpoint from, CancelRequest const &message)
@@ -187,10 +190,14 @@
     }
     bool const isCancelled = this->moveState(message.tryId, TryState::Running, TryState::Cancelled)
         || this->moveState(message.tryId, TryState::Answering, TryState::Cancelled);
-    if (!isCancelled)
-        return;
-    this->releaseSlot();
-    count(this->board, [](TargetCounts &counts) { ++counts.runsCancelled; });
+    if (isCancelled) {
+        this->releaseSlot();
+        count(this->board, [](TargetCounts &counts) { ++counts.runsCancelled; });
+    }
+    // Said again for each repeat of the cancellation: the first may be lost.
+    auto const known = this->board.tries.read(message.tryId);
+    if (known && (known->value.state == TryState::Cancelled || known->value.state == TryState::Expired))
+        this->hooks.send(from, RunEnded{.key = message.key, .tryId = message.tryId});
 }
 
 void TargetRuns::handleResend(Endpoint from, ResendParts const &message)
--- a/Libraries/LibWire/CallerFields.cpp
+++ b/Libraries/LibWire/CallerFields.cpp
@@ -305,6 +305,7 @@
                    [&](FlowBroken const &inner) { writeFlowBroken(inner, *out.mutable_flow_broken()); },
                    [&](RequestStarted const &inner) { writeTry(inner, *out.mutable_request_started()); },
                    [&](Shed const &inner) { writeShed(inner, *out.mutable_shed()); },
+                   [&](RunEnded const &inner) { writeTry(inner, *out.mutable_run_ended()); },
                    [&](AnswerPart const &inner) { writeAnswerPart(inner, *out.mutable_answer_part()); },
                },
                message);
@@ -418,6 +419,8 @@
         return readTry<RequestStarted>(in.request_started(), reader);
     case wire::TargetMessage::kShed:
         return readShed(in.shed(), reader);
+    case wire::TargetMessage::kRunEnded:
+        return readTry<RunEnded>(in.run_ended(), reader);
     case wire::TargetMessage::kAnswerPart:
         return readAnswerPart(in.answer_part(), reader);
     case wire::TargetMessage::MESSAGE_NOT_SET:
--- a/Tests/LibRequests/FakeCluster.h
+++ b/Tests/LibRequests/FakeCluster.h
@@ -27,7 +27,7 @@
 // Ids of targets with one endpoint each; a target belongs to the failure domain of the same index.
 struct FakeTarget
 {
-    enum class TryState : std::uint8_t { Running, Answered, Shed };
+    enum class TryState : std::uint8_t { Running, Answered, Shed, Ended };
     TargetId id;
     Endpoint endpoint;
     std::string domain;
--- a/Tests/LibRequests/FakeClusterTraffic.cpp
+++ b/Tests/LibRequests/FakeClusterTraffic.cpp
@@ -109,9 +109,16 @@
     if (auto const *const run = std::get_if<RunRequest>(&command)) {
         this->runTry(target, from, *run);
     } else if (auto const *const cancel = std::get_if<CancelRequest>(&command)) {
-        auto const known = target.tries.try_emplace({cancel->key, cancel->tryId}, FakeTarget::TryState::Shed);
-        if (known.first->second == FakeTarget::TryState::Shed)
+        auto &state =
+            target.tries.try_emplace({cancel->key, cancel->tryId}, FakeTarget::TryState::Shed).first->second;
+        if (state == FakeTarget::TryState::Running) {
+            state = FakeTarget::TryState::Ended;
+            --target.running;
+        }
+        if (state == FakeTarget::TryState::Shed)
             this->toInstance(target, from, Shed{.key = cancel->key, .tryId = cancel->tryId});
+        if (state == FakeTarget::TryState::Ended)
+            this->toInstance(target, from, RunEnded{.key = cancel->key, .tryId = cancel->tryId});
     } else if (auto const *const resend = std::get_if<ResendParts>(&command)) {
         auto const known = target.tries.find({resend->key, resend->tryId});
         if (known != target.tries.end() && known->second == FakeTarget::TryState::Answered)
@@ -127,6 +134,8 @@
             this->toInstance(target, from, Shed{.key = run.key, .tryId = run.tryId});
         else if (known->second == FakeTarget::TryState::Running)
             this->toInstance(target, from, RequestStarted{.key = run.key, .tryId = run.tryId});
+        else if (known->second == FakeTarget::TryState::Ended)
+            this->toInstance(target, from, RunEnded{.key = run.key, .tryId = run.tryId});
         else
             this->sendAnswer(target, from, run.key, run.tryId, {0, 1, 2, 3});
         return;
@@ -143,7 +152,8 @@
     Duration const serviceTime{1 + this->pick(static_cast<std::uint64_t>(this->maxServiceTime.count()))};
     auto const startMark = target.startMark;
     this->after(serviceTime, [this, &target, id, from, startMark] {
-        if (target.startMark != startMark || !target.isUp)
+        if (target.startMark != startMark || !target.isUp
+            || target.tries[id] != FakeTarget::TryState::Running)
             return;
         --target.running;
         target.tries[id] = FakeTarget::TryState::Answered;
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -167,6 +167,15 @@
         harness.shed(harness.runs().back());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.unknowns().size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        // The target that ended a try in progress has a free slot long before the deadline of the try.
+        auto const ended = harness.sendIdempotent(4);
+        cancel(ended);
+        RunRequest const run = harness.runs().back();
+        harness.controller->handleTargetMessage(endpointOf(firstTarget),
+                                                RunEnded{.key = run.key, .tryId = run.tryId}, harness.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
+        CPPUNIT_ASSERT(harness.unknowns().back().reason == Reason::Cancelled);
+        CPPUNIT_ASSERT_EQUAL(0U, harness.busySlots());
     }
 
     // Guards against NotRun for an expired resend whose first send may have run.
--- a/Tests/LibStandIns/TargetModelTest.cpp
+++ b/Tests/LibStandIns/TargetModelTest.cpp
@@ -29,7 +29,13 @@
 {
     explicit Bench(TargetTraits const &targetTraits = traits())
         : model(targetTraits, 1, loop.now(),
-                {.send = [this](Endpoint, TargetMessage const &message) { this->sent.push_back(message); },
+                {.send =
+                     [this](Endpoint, TargetMessage const &message) {
+                         this->sent.push_back(message);
+                         auto const *const part = std::get_if<AnswerPart>(&message);
+                         if (part != nullptr && part->position == PartPosition::Last)
+                             this->runningAtLastPart = this->statistic("running");
+                     },
                  .schedule =
                      [this](Duration delay, std::function<void()> action) {
                          this->loop.schedule(delay, std::move(action));
@@ -67,6 +73,7 @@
     SimulatedLoop loop;
     std::vector<TargetMessage> sent;
     std::vector<std::uint64_t> started;
+    std::optional<std::uint64_t> runningAtLastPart;
     TargetModel model;
 };
 
@@ -160,6 +167,9 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.statistic("running"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, bench.statistic("runsCancelled"));
         CPPUNIT_ASSERT(bench.started == std::vector<std::uint64_t>{2});
+        // The dispatcher learns that the slot is free, also when the first confirmation is lost.
+        bench.handle(cancel(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.sentOf<RunEnded>());
     }
 
     // Guards against work on requests that nobody waits for.
@@ -174,6 +184,7 @@
         bench.handle(tooLong);
         bench.loop.runFor(6s);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, bench.statistic("runsExpired"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.sentOf<RunEnded>());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.statistic("running"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench.sentOf<AnswerPart>());
     }
@@ -204,6 +215,8 @@
         bench.loop.runFor(1s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{100}, bench.sentOf<AnswerPart>());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.statistic("running"));
+        // A run that the dispatcher sends as soon as it has the last part must find the slot free.
+        CPPUNIT_ASSERT(bench.runningAtLastPart == std::optional<std::uint64_t>{0});
     }
 
     // Guards against a cold target that shows no sign of overload, so that a missing ramp goes unnoticed.
--- a/Tests/LibWire/MessageGenerators.cpp
+++ b/Tests/LibWire/MessageGenerators.cpp
@@ -284,7 +284,7 @@
 
 TargetMessage pickTargetMessage()
 {
-    switch (*rc::gen::inRange(0, 7)) {
+    switch (*rc::gen::inRange(0, 8)) {
     case 0:
         return FlowAccepted{.key = pickFlowKey()};
     case 1:
@@ -297,6 +297,8 @@
         return RequestStarted{.key = pickRequestKey(), .tryId = pickId()};
     case 5:
         return Shed{.key = pickRequestKey(), .tryId = pickId(), .retryAfter = pickDuration()};
+    case 6:
+        return RunEnded{.key = pickRequestKey(), .tryId = pickId()};
     default:
         return pickAnswerPart();
     }
