Requests: Say "not run" of an idempotent request only when that is certain

The property tests checked it for non-idempotent requests only.

Change: the same conditions make both kinds uncertain, and only a non-idempotent one is located. The routers tell "unknown" for every resend. Claims do not count for idempotent requests: they can last for hours.

Two tests expected the fault and now expect the opposite, as strictly: expiredRequestsGetTrueOutcomes (an expired idempotent resend) and pausedDispatcherIsNotCertain (an idempotent request at an instance without a lease) were told "not run" and are told "unknown".

Conclusion: "not run" is true of idempotent requests, too.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -216,9 +216,9 @@
 void CallerRouter::refuseRequest(Endpoint caller, Request const &request, Reason reason)
 {
     increment(this->refused);
-    // An earlier attempt of a non-idempotent request may have run where this instance can't see it.
-    bool const isSurelyNotRun = request.idempotency == Idempotency::Idempotent || request.attempt <= 1;
-    if (isSurelyNotRun)
+    // An earlier attempt may have run where this instance can't see it.
+    bool const isFirstSend = request.attempt <= 1;
+    if (isFirstSend)
         this->outbox.sendToCaller(
             caller, NotRun{.key = request.key, .reason = reason, .retryAfter = refusalRetryAfter});
     else
--- a/Libraries/LibRequests/LocatePlan.cpp
+++ b/Libraries/LibRequests/LocatePlan.cpp
@@ -64,12 +64,10 @@
     return isVouched ? LocateResult::NotKnown : LocateResult::Incomplete;
 }
 
-bool needsLocating(RequestRecord const &record, TargetId target, std::uint16_t bucket,
-                   ServiceRoutes const &routes, std::span<ClaimUpdate const> claims, Timestamp takeoverUntil,
-                   RequestSettings const &settings, Timestamp now)
+bool mayHaveRunElsewhere(RequestRecord const &record, TargetId target, std::uint16_t bucket,
+                         ServiceRoutes const &routes, std::span<ClaimUpdate const> claims,
+                         Timestamp takeoverUntil, RequestSettings const &settings, Timestamp now)
 {
-    if (record.idempotency == Idempotency::Idempotent)
-        return false;
     // Shortly after a takeover a first send may be a copy of one that the predecessor has run.
     if (record.attempt > 1 || now < takeoverUntil)
         return true;
@@ -80,6 +78,10 @@
         return true;
     if (routes.hasMovedWithin(bucket, settings.bucketSettleTime, now))
         return true;
+    // A claim can last for hours. An idempotent request is not located, and could not be refused as "not run"
+    // for all that time.
+    if (record.idempotency == Idempotency::Idempotent)
+        return false;
     return std::ranges::any_of(claims, [&](ClaimUpdate const &claim) {
         return claim.target != target && std::ranges::find(claim.buckets, bucket) != claim.buckets.end();
     });
--- a/Libraries/LibRequests/LocatePlan.h
+++ b/Libraries/LibRequests/LocatePlan.h
@@ -44,9 +44,11 @@
 
 LocateResult judgeLocate(LocateProgress const &progress);
 
-// Whether a request must be located at all; `claims` are those of the targets of the service.
-bool needsLocating(RequestRecord const &record, TargetId target, std::uint16_t bucket,
-                   ServiceRoutes const &routes, std::span<ClaimUpdate const> claims, Timestamp takeoverUntil,
-                   RequestSettings const &settings, Timestamp now);
+// Whether another dispatcher may know the request or have run a copy of it, so that a non-idempotent one must
+// be located first, and none can be refused as "not run" without that. `claims` are those of the targets of
+// the service.
+bool mayHaveRunElsewhere(RequestRecord const &record, TargetId target, std::uint16_t bucket,
+                         ServiceRoutes const &routes, std::span<ClaimUpdate const> claims,
+                         Timestamp takeoverUntil, RequestSettings const &settings, Timestamp now);
 
 } // namespace almondwing
--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -8,6 +8,16 @@
 
 namespace almondwing {
 
+namespace {
+
+// Running an idempotent request a second time does no harm, so it is not located.
+bool mustLocate(RequestRecord const &record)
+{
+    return record.idempotency == Idempotency::NonIdempotent && record.history == RunHistory::Uncertain;
+}
+
+} // namespace
+
 RequestAdmission::RequestAdmission(RequestStore &requestStore, RequestOutcomes &finalOutcomes,
                                    TryRunner &tryRunner, ReplicaRecords &groupRecords,
                                    RandomSource const &randomSource)
@@ -30,15 +40,15 @@
     record.deadline = now + std::min(arrived.request.timeLeft, this->store.times().longestDeadline);
     record.payload = std::make_shared<std::string const>(arrived.request.payload);
     record.phaseSince = now;
-    bool const mustAsk = this->mustLocate(record, arrived.request.key, arrived.purpose, now);
     // Without a lease another instance may dispatch for the target and have run a resend.
-    bool const mayBeReplaced = record.idempotency == Idempotency::NonIdempotent
-        && this->store.board().ownStatus.read()->lease != LeaseState::Held;
-    record.history = mustAsk || mayBeReplaced ? RunHistory::Uncertain : RunHistory::CertainlyNone;
+    bool const mayBeReplaced = this->store.board().ownStatus.read()->lease != LeaseState::Held;
+    bool const isUncertain =
+        mayBeReplaced || this->mayHaveRun(record, arrived.request.key, arrived.purpose, now);
+    record.history = isUncertain ? RunHistory::Uncertain : RunHistory::CertainlyNone;
     return record;
 }
 
-bool RequestAdmission::mustLocate(RequestRecord const &record, RequestKey key, ForwardPurpose purpose,
+bool RequestAdmission::mayHaveRun(RequestRecord const &record, RequestKey key, ForwardPurpose purpose,
                                   Timestamp now) const
 {
     // The dispatcher that spilled a first send knows that it has not run, and never runs it itself.
@@ -46,14 +56,14 @@
     auto const view = this->store.view();
     ServiceRoutes const *const routes = view->findService(key.service);
     if (routes == nullptr || isFreshSpill)
-        return record.idempotency == Idempotency::NonIdempotent && record.attempt > 1;
+        return record.attempt > 1;
     std::vector<ClaimUpdate> claims;
     for (RoutedTarget const &target : routes->targets) {
         if (auto const claim = this->store.board().claims.read(target.record.id))
             claims.push_back(claim->value);
     }
-    return needsLocating(record, record.target, bucketOf(std::hash<RequestKey>{}(key)), *routes, claims,
-                         this->store.usage(record.target).inheritedUntil, this->store.times(), now);
+    return mayHaveRunElsewhere(record, record.target, bucketOf(std::hash<RequestKey>{}(key)), *routes, claims,
+                               this->store.usage(record.target).inheritedUntil, this->store.times(), now);
 }
 
 void RequestAdmission::handle(ArrivedRequest const &arrived, Timestamp now)
@@ -71,7 +81,7 @@
     if (this->yieldToHolder(arrived, record, now) || this->passOnWhileStopping(key, record, now)
         || this->refuseAtOnce(key, record, now))
         return;
-    if (record.history == RunHistory::Uncertain)
+    if (mustLocate(record))
         this->startLocating(key, record, now);
     else
         this->admit(key, RequestPhase::Admitting, now);
@@ -151,7 +161,7 @@
 bool RequestAdmission::passOnWhileStopping(RequestKey key, RequestRecord const &record, Timestamp now)
 {
     bool const mayPassOn = this->gate == AdmissionGate::Stopping && record.deadline > now
-        && record.history != RunHistory::Uncertain && !this->isPinned(key, record, now)
+        && !mustLocate(record) && !this->isPinned(key, record, now)
         && record.hops < this->store.times().maxSpillHops;
     return mayPassOn && this->passToOtherDispatcher(key, record, now);
 }
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -23,7 +23,8 @@
                 return std::nullopt;
             RequestRecord next = current;
             next.phase = RequestPhase::Admitting;
-            next.history = RunHistory::CertainlyNone;
+            if (current.idempotency == Idempotency::NonIdempotent)
+                next.history = RunHistory::CertainlyNone; // It has been located, where that was needed.
             return next;
         });
     if (!record)
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -194,8 +194,7 @@
     bool const isCancelled = record.cancelReason != Reason::None;
     Reason const reason = isCancelled ? record.cancelReason : Reason::TargetShed;
     // A target that has reported the start and then sheds has cut the try short: part of it may have run.
-    bool const mayBeNewProcess = record.idempotency == Idempotency::NonIdempotent
-        && now - record.startedAt >= this->store.times().targetRestartTime;
+    bool const mayBeNewProcess = now - record.startedAt >= this->store.times().targetRestartTime;
     if (record.progress == TryProgress::Started || mayBeNewProcess)
         return this->outcomes.finished(next, {.outcome = RequestOutcome::Unknown, .reason = reason}, now);
     if (!retryAt) {
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -342,7 +342,7 @@
         bool const isOnce = caller.request.idempotency == Idempotency::NonIdempotent;
         if (isOnce && this->runsOf(key) > 1)
             return fmt::format("request {} ran {} times", key.number, this->runsOf(key));
-        if (isOnce && caller.outcome == RequestOutcome::NotRun && this->runsOf(key) > 0)
+        if (caller.outcome == RequestOutcome::NotRun && this->runsOf(key) > 0)
             return fmt::format("request {} ran although its caller was told not run", key.number);
         if (caller.outcome == RequestOutcome::Answered && this->runsOf(key) == 0)
             return fmt::format("request {} was answered without a run", key.number);
--- a/Tests/LibRequests/QueuePolicyTest.cpp
+++ b/Tests/LibRequests/QueuePolicyTest.cpp
@@ -231,23 +231,26 @@
         claims[0].target = TargetId{2};
         RequestRecord record;
         Timestamp takeoverUntil = now;
-        auto const isLocated = [&](std::uint16_t bucket) {
-            return needsLocating(record, TargetId{1}, bucket, routes, claims, takeoverUntil, settings, now);
+        auto const isUnsure = [&](std::uint16_t bucket) {
+            return mayHaveRunElsewhere(record, TargetId{1}, bucket, routes, claims, takeoverUntil, settings,
+                                       now);
         };
-        CPPUNIT_ASSERT(!isLocated(5));
+        CPPUNIT_ASSERT(!isUnsure(5));
         claims[0].buckets = {5};
-        CPPUNIT_ASSERT(isLocated(5) && !isLocated(6));
+        CPPUNIT_ASSERT(isUnsure(5) && !isUnsure(6));
         routes.recentMoves[1].at += 1ms;
-        CPPUNIT_ASSERT(isLocated(6) && !isLocated(7));
+        CPPUNIT_ASSERT(isUnsure(6) && !isUnsure(7));
         routes.buckets[7] = 1;
-        CPPUNIT_ASSERT(isLocated(7) && !isLocated(8));
+        CPPUNIT_ASSERT(isUnsure(7) && !isUnsure(8));
         takeoverUntil = now + 1ms;
-        CPPUNIT_ASSERT(isLocated(8));
+        CPPUNIT_ASSERT(isUnsure(8));
         takeoverUntil = now;
         record.attempt = 2;
-        CPPUNIT_ASSERT(isLocated(8));
+        CPPUNIT_ASSERT(isUnsure(8));
         record.idempotency = Idempotency::Idempotent;
-        CPPUNIT_ASSERT(!isLocated(5) && !isLocated(8));
+        CPPUNIT_ASSERT(isUnsure(8));
+        record.attempt = 1;
+        CPPUNIT_ASSERT(isUnsure(6) && isUnsure(7) && !isUnsure(5) && !isUnsure(8));
     }
 };
 
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -193,7 +193,8 @@
         request.idempotency = Idempotency::Idempotent;
         request.key.number = 3;
         harness.send(request);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.refusals().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
     }
 
     // Guards against new work at a draining target, and against refusing what another target could run.
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -77,9 +77,10 @@
         });
         harness.send(Harness::request(3, RequestClass::Urgent, Idempotency::NonIdempotent));
         CPPUNIT_ASSERT(harness.unknowns().back().reason == Reason::LeaseExpired);
-        CPPUNIT_ASSERT(harness.refusals().empty());
         harness.sendIdempotent(4);
-        CPPUNIT_ASSERT(harness.refusals().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, harness.unknowns().size());
+        CPPUNIT_ASSERT(harness.unknowns().back().reason == Reason::LeaseExpired);
+        CPPUNIT_ASSERT(harness.refusals().empty());
         CPPUNIT_ASSERT(harness.runs().empty());
     }
 
