Routing: Let messages that go around wait for the tables to agree

Cause: Deployment RestartTest::gracefulRestartsCutNothing was red: at the stop of dar-b-2 two downloads were refused "route-unsettled". Until the refusal was added, such messages were dropped.

Change: a message that has been passed on 3 times waits 100 ms at each further instance. The messages that wait stand on the blackboard (at most 4,096), the router passes them on at its tick, and a stopping instance stays until none is left. The waiting time is taken off the time left of a request.

Conclusion: a planned change costs new work in its failure domain a wait, not a refusal.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -13,6 +13,13 @@
 
 constexpr Duration refusalRetryAfter = 1s;
 
+// The way from the entry instance to the dispatcher, and one or two more instances while a change spreads.
+constexpr std::uint8_t hopsWithoutPause = 3;
+// For each further hop, so that the limit of hops is reached after 2 s. A change spreads within one. Without
+// the pause two instances that take each other for the dispatcher reach the limit within milliseconds.
+constexpr Duration unsettledPause = 100ms;
+constexpr std::size_t unsettledBound = 4096; // Messages of at most 1400 bytes.
+
 // Null for messages of requests.
 FlowKey const *flowKeyOf(CallerMessage const &message)
 {
@@ -57,15 +64,48 @@
 void CallerRouter::handleFromCaller(Endpoint caller, CallerMessage message, Timestamp now)
 {
     increment(this->fromCallers);
-    this->route(Forwarded{.caller = caller, .candidates = {}, .message = std::move(message)}, now);
+    this->route(Forwarded{.caller = caller, .candidates = {}, .message = std::move(message)}, Pause::Due,
+                now);
 }
 
 void CallerRouter::handleForwarded(Forwarded forwarded, Timestamp now)
 {
-    this->route(std::move(forwarded), now);
+    this->route(std::move(forwarded), Pause::Due, now);
+}
+
+void CallerRouter::tick(Timestamp now)
+{
+    if (!this->hasUnsettledMessages())
+        return;
+    for (auto &[number, waiting] : this->blackboard.unsettledMessages.entries()) {
+        Duration const waited = now - waiting.since;
+        if (waited < unsettledPause)
+            continue;
+        this->blackboard.unsettledMessages.remove(number);
+        if (auto *const request = std::get_if<Request>(&waiting.forwarded.message))
+            request->timeLeft = std::max(request->timeLeft - waited, Duration::zero());
+        this->route(std::move(waiting.forwarded), Pause::Over, now);
+    }
 }
 
-void CallerRouter::route(Forwarded &&forwarded, Timestamp now)
+bool CallerRouter::hasUnsettledMessages() const
+{
+    return this->blackboard.unsettledMessages.size() > 0;
+}
+
+bool CallerRouter::waitForTables(Forwarded &forwarded, Timestamp now)
+{
+    bool const isPaced = forwarded.purpose == ForwardPurpose::Deliver && forwarded.hops > hopsWithoutPause;
+    if (!isPaced || this->blackboard.unsettledMessages.size() >= unsettledBound)
+        return false;
+    --forwarded.hops; // Counted when it is passed on.
+    this->blackboard.unsettledMessages.write(
+        this->nextUnsettled.fetch_add(1, std::memory_order_relaxed),
+        UnsettledMessage{.forwarded = std::move(forwarded), .since = now}, 0);
+    return true;
+}
+
+void CallerRouter::route(Forwarded &&forwarded, Pause pause, Timestamp now)
 {
     if (this->serveIfKnown(forwarded, now))
         return;
@@ -76,6 +116,8 @@
         this->handleHere(std::move(decision), now);
         return;
     case ForwardDecisionKind::Forward:
+        if (pause == Pause::Due && this->waitForTables(decision.forwarded, now))
+            return;
         increment(this->forwardedCount);
         this->outbox.sendToInstance(decision.instance, PeerMessage(std::move(decision.forwarded)));
         return;
--- a/Libraries/LibInstance/CallerRouter.h
+++ b/Libraries/LibInstance/CallerRouter.h
@@ -46,11 +46,20 @@
     // A message that another instance passed on.
     void handleForwarded(Forwarded forwarded, Timestamp now);
 
+    // Passes on what has waited for the tables to agree.
+    void tick(Timestamp now);
+    bool hasUnsettledMessages() const;
+
     CallerRouterCounters counters() const;
 
 private:
+    // Whether a message that goes around is still to wait here before it is passed on.
+    enum class Pause : std::uint8_t { Due, Over };
+
     // The message is moved from hook to hook, because copies of payloads cost a good part of a decision.
-    void route(Forwarded &&forwarded, Timestamp now);
+    void route(Forwarded &&forwarded, Pause pause, Timestamp now);
+    // Takes the message and returns true if it has to wait for the tables of the instances to agree.
+    bool waitForTables(Forwarded &forwarded, Timestamp now);
     bool serveIfKnown(Forwarded &forwarded, Timestamp now);
     void handleHere(ForwardDecision &&decision, Timestamp now);
     void handleRequestMessage(ForwardDecision const &decision, Timestamp now);
@@ -71,6 +80,7 @@
     std::atomic<std::uint64_t> unknownService = 0;
     std::atomic<std::uint64_t> hopLimit = 0;
     std::atomic<std::uint64_t> withoutLease = 0;
+    std::atomic<std::uint64_t> nextUnsettled = 0;
 };
 
 } // namespace almondwing
--- a/Libraries/LibInstance/Instance.cpp
+++ b/Libraries/LibInstance/Instance.cpp
@@ -103,13 +103,15 @@
     this->sweeper.refreshKnowledge(now);
     this->forgetAfterPause(now);
     this->handleOwnershipChanges(now);
+    this->router.tick(now);
     this->claims.tick(now);
     this->handover.tick(now);
     this->sweeper.tick(now);
     this->requests.tick(now);
     if (this->stopBegun == 0)
         return;
-    bool const isIdle = this->requests.isIdle() && !this->handover.hasFlowsToHandOver();
+    bool const isIdle = this->requests.isIdle() && !this->handover.hasFlowsToHandOver()
+        && !this->router.hasUnsettledMessages();
     if (!isIdle)
         this->idleSince = 0;
     else if (this->idleSince == 0)
--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -13,6 +13,7 @@
 #include <LibState/RequestRecord.h>
 #include <LibState/RoutingView.h>
 #include <LibState/TargetUsage.h>
+#include <LibState/UnsettledMessage.h>
 
 #include <atomic>
 #include <cstdint>
@@ -54,6 +55,7 @@
     ShardedTable<std::uint64_t, ExpiringRequests> expiringRequests; // Key: see ExpirySchedule.
     ShardedTable<ServiceId, RetryBudget, 16> retryBudgets;
     ShardedTable<std::uint64_t, PacedPart> pacedParts; // Key: position in the ring of PacingState.
+    ShardedTable<std::uint64_t, UnsettledMessage, 8> unsettledMessages; // By arrival. Writer: caller router.
     Cell<PacingState> pacing;
     Cell<KeptAnswerTotal> keptAnswers;
     Cell<RoutingView> routingView; // Writer: table.
--- a/Tests/LibInstance/InstanceTest.cpp
+++ b/Tests/LibInstance/InstanceTest.cpp
@@ -291,12 +291,19 @@
             Forwarded const passed{
                 .hops = hops, .candidates = {}, .message = makeRequest(cluster, number, 1)};
             cluster.instanceAt(0).handlePeerMessage(InstanceId{1}, {}, passed, cluster.time());
-            cluster.advance(100ms);
+            cluster.advance(75ms);
         };
-        pass(1, maximumHops - 1);
-        CPPUNIT_ASSERT(cluster.notRun.at(1) == Reason::NoSecondCopy);
-        pass(2, maximumHops);
-        CPPUNIT_ASSERT(cluster.notRun.at(2) == Reason::RouteUnsettled);
+        pass(1, maximumHops);
+        CPPUNIT_ASSERT(cluster.notRun.at(1) == Reason::RouteUnsettled);
+        pass(2, 1);
+        CPPUNIT_ASSERT(cluster.notRun.at(2) == Reason::NoSecondCopy);
+        // It waits at each further instance, so that the limit is not reached before the change has spread.
+        pass(3, maximumHops - 1);
+        CPPUNIT_ASSERT(!cluster.notRun.contains(3)
+                       && cluster.instanceAt(0).callerRouter().hasUnsettledMessages());
+        cluster.advance(75ms);
+        CPPUNIT_ASSERT(cluster.notRun.at(3) == Reason::NoSecondCopy);
+        CPPUNIT_ASSERT(!cluster.instanceAt(0).callerRouter().hasUnsettledMessages());
     }
 };
 
