Requests: Keep a spilled idempotent request uncertain

An idempotent request that may have run elsewhere is not located, and was spilled as a first send, which its next dispatcher takes for certain. The handlers of messages of targets shared the same frame three times. The router copied all waiting messages at each tick.

Change: an uncertain idempotent request is spilled with an attempt above 1. changeTry and concludeTry hold what the handlers of Shed, RunEnded and AnswerPart share. The router copies only the messages that are due. restartedTargetEndsItsTries also expects an idempotent try that is shed late to end unknown; without that the mutation "shed by a new process is certain" survived.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace almondwing {
 
@@ -77,10 +78,13 @@
 {
     if (!this->hasUnsettledMessages())
         return;
-    for (auto &[number, waiting] : this->blackboard.unsettledMessages.entries()) {
+    std::vector<std::pair<std::uint64_t, UnsettledMessage>> due;
+    this->blackboard.unsettledMessages.forEach([&](std::uint64_t number, UnsettledMessage const &waiting) {
+        if (now - waiting.since >= unsettledPause)
+            due.emplace_back(number, waiting);
+    });
+    for (auto &[number, waiting] : due) {
         Duration const waited = now - waiting.since;
-        if (waited < unsettledPause)
-            continue;
         this->blackboard.unsettledMessages.remove(number);
         if (auto *const request = std::get_if<Request>(&waiting.forwarded.message))
             request->timeLeft = std::max(request->timeLeft - waited, Duration::zero());
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -115,8 +115,11 @@
 
 Request RequestAdmission::forwardable(RequestKey key, RequestRecord const &record, Timestamp now) const
 {
+    // An uncertain idempotent request was not located, and must be uncertain at its next dispatcher, too.
+    bool const isUncertain =
+        record.idempotency == Idempotency::Idempotent && record.history == RunHistory::Uncertain;
     return {.key = key,
-            .attempt = record.attempt,
+            .attempt = isUncertain ? std::max(record.attempt, 2U) : record.attempt,
             .requestClass = record.requestClass,
             .idempotency = record.idempotency,
             .timeLeft = record.deadline - now,
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -210,63 +210,67 @@
     return next;
 }
 
+std::optional<TryRunner::TryChange>
+TryRunner::changeTry(Endpoint from, RequestKey key, std::uint64_t tryId,
+                     std::function<RequestRecord(RequestRecord const &)> const &change)
+{
+    TryChange result;
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (!this->isOfPresentTry(current, from, tryId))
+                return std::nullopt;
+            result.slotBefore = current.slot;
+            result.phaseBefore = current.phase;
+            return change(current);
+        });
+    if (!record)
+        return std::nullopt;
+    result.record = *record;
+    return result;
+}
+
 void TryRunner::handleShed(Endpoint from, Shed const &message, Timestamp now)
 {
     auto const before = this->store.find(message.key);
     if (!before || !this->isOfPresentTry(*before, from, message.tryId))
         return;
     auto const retryAt = this->planRetry(*before, message.key, message.retryAfter, now);
-    SlotUse slotBefore = SlotUse::None;
-    RequestPhase phaseBefore = RequestPhase::Finished;
-    auto const record =
-        this->store.change(message.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
-            if (!this->isOfPresentTry(current, from, message.tryId))
-                return std::nullopt;
-            slotBefore = current.slot;
-            phaseBefore = current.phase;
-            return this->afterShed(current, retryAt, message.retryAfter, now);
-        });
-    if (!record)
+    auto const changed = this->changeTry(from, message.key, message.tryId, [&](RequestRecord const &current) {
+        return this->afterShed(current, retryAt, message.retryAfter, now);
+    });
+    if (!changed)
         return;
-    this->store.countEvent(record->target, SlotEvent::Shed, now);
-    if (record->phase == RequestPhase::Queued)
-        this->moveToWaiting(message.key, *record);
-    else if (phaseBefore == RequestPhase::Running)
-        this->outcomes.announce(message.key, *record);
-    if (slotBefore == SlotUse::Held)
-        this->freeSlotOf(message.key, *record, now);
+    this->store.countEvent(changed->record.target, SlotEvent::Shed, now);
+    if (changed->record.phase == RequestPhase::Queued)
+        this->moveToWaiting(message.key, changed->record);
+    this->concludeTry(message.key, *changed, now);
 }
 
 void TryRunner::handleEnded(Endpoint from, RunEnded const &message, Timestamp now)
 {
-    SlotUse slotBefore = SlotUse::None;
-    RequestPhase phaseBefore = RequestPhase::Finished;
-    auto const record =
-        this->store.change(message.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
-            if (!this->isOfPresentTry(current, from, message.tryId))
-                return std::nullopt;
-            slotBefore = current.slot;
-            phaseBefore = current.phase;
-            RequestRecord next = current;
-            next.slot = SlotUse::None;
-            if (current.phase != RequestPhase::Running)
-                return next;
-            bool const isCancelled = current.cancelReason != Reason::None;
-            return this->outcomes.finished(
-                next,
-                {.outcome = RequestOutcome::Unknown,
-                 .reason = isCancelled ? current.cancelReason : Reason::DeadlinePassed},
-                now);
-        });
-    if (!record)
+    auto const changed = this->changeTry(from, message.key, message.tryId, [&](RequestRecord const &current) {
+        RequestRecord next = current;
+        next.slot = SlotUse::None;
+        if (current.phase != RequestPhase::Running)
+            return next;
+        bool const isCancelled = current.cancelReason != Reason::None;
+        Reason const reason = isCancelled ? current.cancelReason : Reason::DeadlinePassed;
+        return this->outcomes.finished(next, {.outcome = RequestOutcome::Unknown, .reason = reason}, now);
+    });
+    if (!changed)
         return;
-    if (phaseBefore == RequestPhase::Running) {
-        if (record->reason == Reason::DeadlinePassed)
-            this->store.countEvent(record->target, SlotEvent::TimedOut, now);
-        this->outcomes.announce(message.key, *record);
-    }
-    if (slotBefore == SlotUse::Held)
-        this->freeSlotOf(message.key, *record, now);
+    if (changed->phaseBefore == RequestPhase::Running && changed->record.reason == Reason::DeadlinePassed)
+        this->store.countEvent(changed->record.target, SlotEvent::TimedOut, now);
+    this->concludeTry(message.key, *changed, now);
+}
+
+void TryRunner::concludeTry(RequestKey key, TryChange const &changed, Timestamp now)
+{
+    bool const hasOutcome = changed.record.phase == RequestPhase::Finished;
+    if (hasOutcome && changed.phaseBefore == RequestPhase::Running)
+        this->outcomes.announce(key, changed.record);
+    if (changed.slotBefore == SlotUse::Held)
+        this->freeSlotOf(key, changed.record, now);
 }
 
 void TryRunner::moveToWaiting(RequestKey key, RequestRecord const &record)
@@ -288,42 +292,37 @@
         return;
     }
     PartFate fate = PartFate::Inconsistent;
-    SlotUse slotBefore = SlotUse::None;
-    RequestPhase phaseBefore = RequestPhase::Finished;
     Timestamp const pacedAt = this->outcomes.pacedSendTime(now);
-    auto const record =
-        this->store.change(part.key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
-            fate = PartFate::Inconsistent;
-            if (!this->isOfPresentTry(current, from, part.tryId))
-                return std::nullopt;
-            slotBefore = current.slot;
-            phaseBefore = current.phase;
-            RequestRecord next = current;
-            next.progress = TryProgress::Started;
-            next.lastHeard = now;
-            if (part.position == PartPosition::Last)
-                next.slot = SlotUse::None;
-            if (current.phase != RequestPhase::Running)
-                return next;
-            auto const added = addPart(current.answer, part, this->store.times().answerBytes);
-            fate = added.fate;
-            next.answer = added.answer;
-            bool const isComplete = next.answer && next.answer->isComplete();
-            Timestamp const sentAt = current.requestClass == RequestClass::Bulk ? pacedAt : now;
-            return isComplete ? this->outcomes.finished(next, outcomeOfAnswer(current, sentAt), now) : next;
-        });
-    if (!record || fate != PartFate::Added)
+    auto const changed = this->changeTry(from, part.key, part.tryId, [&](RequestRecord const &current) {
+        fate = PartFate::Inconsistent;
+        RequestRecord next = current;
+        next.progress = TryProgress::Started;
+        next.lastHeard = now;
+        if (part.position == PartPosition::Last)
+            next.slot = SlotUse::None;
+        if (current.phase != RequestPhase::Running)
+            return next;
+        auto const added = addPart(current.answer, part, this->store.times().answerBytes);
+        fate = added.fate;
+        next.answer = added.answer;
+        bool const isComplete = next.answer && next.answer->isComplete();
+        Timestamp const sentAt = current.requestClass == RequestClass::Bulk ? pacedAt : now;
+        return isComplete ? this->outcomes.finished(next, outcomeOfAnswer(current, sentAt), now) : next;
+    });
+    if (!changed || fate != PartFate::Added)
         this->store.returnAnswerBytes(part.payload.size());
-    if (!record || (fate == PartFate::Inconsistent && phaseBefore == RequestPhase::Running))
+    bool const wasRunning = changed && changed->phaseBefore == RequestPhase::Running;
+    if (!changed || (fate == PartFate::Inconsistent && wasRunning))
         this->dropPart(part);
-    if (!record)
+    if (!changed)
         return;
-    if (fate == PartFate::Added && record->outcome != RequestOutcome::Unknown)
-        this->outcomes.sendPart(part.key, *record, part.part);
-    if (phaseBefore == RequestPhase::Running && record->phase == RequestPhase::Finished)
-        this->finishAnswer(part.key, *record, now);
-    if (slotBefore == SlotUse::Held && record->slot == SlotUse::None)
-        this->freeSlotOf(part.key, *record, now);
+    RequestRecord const &record = changed->record;
+    if (fate == PartFate::Added && record.outcome != RequestOutcome::Unknown)
+        this->outcomes.sendPart(part.key, record, part.part);
+    if (wasRunning && record.phase == RequestPhase::Finished)
+        this->finishAnswer(part.key, record, now);
+    if (changed->slotBefore == SlotUse::Held && record.slot == SlotUse::None)
+        this->freeSlotOf(part.key, record, now);
 }
 
 void TryRunner::finishAnswer(RequestKey key, RequestRecord const &record, Timestamp now)
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -10,6 +10,8 @@
 #include <LibRequests/RequestStep.h>
 #include <LibRequests/RequestStore.h>
 
+#include <cstdint>
+#include <functional>
 #include <optional>
 
 namespace almondwing {
@@ -44,6 +46,20 @@
     bool isStillOurs(RequestRecord const &record, Timestamp now) const;
 
 private:
+    // A try after a message of its target, and what it was before.
+    struct TryChange
+    {
+        RequestRecord record;
+        SlotUse slotBefore = SlotUse::None;
+        RequestPhase phaseBefore = RequestPhase::Finished;
+    };
+
+    // Null if the message is not from the target of the present try.
+    std::optional<TryChange> changeTry(Endpoint from, RequestKey key, std::uint64_t tryId,
+                                       std::function<RequestRecord(RequestRecord const &)> const &change);
+    // Tells the caller of an end that the change has brought, and gives the slot to the next request.
+    void concludeTry(RequestKey key, TryChange const &changed, Timestamp now);
+
     bool isReady(RequestRecord const &record, TargetId target, Timestamp now) const;
     bool startTry(RequestKey key, RoutedTarget const &target, Timestamp now);
     void sendRun(RequestKey key, RequestRecord const &record, Timestamp now);
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -140,6 +140,11 @@
         harness.tickFor(1s);
         harness.shed(harness.runs().back());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.unknowns().size());
+        // The former process may have run an idempotent one as well.
+        harness.sendIdempotent(3);
+        harness.tickFor(1s);
+        harness.shed(harness.runs().back());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, harness.unknowns().size());
         CPPUNIT_ASSERT(harness.refusals().empty());
     }
 
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(formerRefusalIsNotRepeatedAfterTakeover);
     CPPUNIT_TEST(differentTablesAreLocated);
     CPPUNIT_TEST(spilledRequestsStayThere);
+    CPPUNIT_TEST(spilledRequestStaysUncertain);
     CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(takeoverCountsAllSlots);
     CPPUNIT_TEST_SUITE_END();
@@ -151,6 +152,18 @@
         CPPUNIT_ASSERT(harness.refusals().back().key == arrived.key);
     }
 
+    // Guards against "not run" for an idempotent request that the predecessor may have run, by an instance
+    // that it was spilled to.
+    void spilledRequestStaysUncertain()
+    {
+        Harness harness(1);
+        harness.controller->handleTakeover(firstTarget, harness.now);
+        harness.send(Harness::request(1, RequestClass::Urgent, Idempotency::Idempotent), 0);
+        auto const spilled = std::get<Forwarded>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT(spilled.purpose == ForwardPurpose::Spill);
+        CPPUNIT_ASSERT_EQUAL(2U, std::get<Request>(spilled.message).attempt);
+    }
+
     // Guards against a former dispatcher that starts a request which outlasts the time for which its
     // successor counts the slots as busy.
     void formerDispatcherStartsNoLongWork()
