Metrics: Count messages that went around between instances

Cause: the counter of messages that reached the limit of hops was kept but not published, so operators could not see that the tables of instances differ for long.

Conclusion: the refusal `route-unsettled` has a number that operators can watch.

--- a/Services/almondwingd/DaemonMetrics.cpp
+++ b/Services/almondwingd/DaemonMetrics.cpp
@@ -108,6 +108,10 @@
                 router.forwarded),
         counter("almondwing_unknown_service_total", "Messages for a service that is not configured.",
                 router.unknownService),
+        counter(
+            "almondwing_route_unsettled_total",
+            "Messages refused or dropped because they went around between instances with different tables.",
+            router.hopLimit),
         counter("almondwing_target_messages_dropped_total",
                 "Messages of targets for a flow that is not known here or is with another target.",
                 flows.unmatched),
