Tests: Add the reason route-unsettled to the table of names

Cause: NamesTest fails for a new reason until it stands in its table, so that none is renumbered unseen.

Change: the table has the new reason under its number, 22.

Conclusion: the numbers of the older reasons are unchanged.

--- a/Tests/LibMessages/NamesTest.cpp
+++ b/Tests/LibMessages/NamesTest.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // In the order of their numbers, which are part of the wire format.
-constexpr std::array<std::string_view, 22> reasonNames{
+constexpr std::array<std::string_view, 23> reasonNames{
     "none",
     "unknown-service",
     "no-target",
@@ -40,6 +40,7 @@
     "retry-budget-spent",
     "locate-incomplete",
     "instance-starting",
+    "route-unsettled",
 };
 
 // The names of all numbers that the type of an enum can hold, up to the first number without a name.
