--- /dev/null
+++ b/Libraries/LibConfiguration/DocumentState.cpp
@@ -0,0 +1,46 @@
+// Implements the state machine of whole configurations.
+
+#include <LibConfiguration/DocumentState.h>
+
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+void apply(DocumentState &state, ReplaceDocument const &change)
+{
+    if (change.version <= state.version)
+        return;
+    state.version = change.version;
+    state.text = std::make_shared<std::string const>(change.text);
+}
+
+void apply(DocumentState &state, TakeOutDomain const &change)
+{
+    state.domains[change.failureDomain] = DomainService::TakenOut;
+}
+
+void apply(DocumentState &state, BringBackDomain const &change)
+{
+    auto const domain = state.domains.find(change.failureDomain);
+    if (domain != state.domains.end())
+        domain->second = DomainService::InService;
+}
+
+} // namespace
+
+DocumentState applyDocumentChange(DocumentState state, DocumentChange const &change)
+{
+    std::visit([&state](auto const &kind) { apply(state, kind); }, change);
+    return state;
+}
+
+bool isWithoutEffect(DocumentState const &state, DocumentChange const &change)
+{
+    if (auto const *const replace = std::get_if<ReplaceDocument>(&change))
+        return replace->version <= state.version;
+    return applyDocumentChange(state, change) == state;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibConfigurationJson/DocumentJson.h
@@ -0,0 +1,20 @@
+// JSON codec of whole configurations: log entries and snapshots.
+
+#pragma once
+
+#include <LibConfiguration/DocumentState.h>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace almondwing {
+
+std::string formatDocumentChange(DocumentChange const &change);
+absl::StatusOr<DocumentChange> parseDocumentChange(std::string_view text);
+
+std::string formatDocumentState(DocumentState const &state);
+absl::StatusOr<DocumentState> parseDocumentState(std::string_view text);
+
+} // namespace almondwing
--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -74,6 +74,9 @@
     EventDescription{Event::ConfigurationRefused, Severity::Error, "ConfigurationRefused",
                      "A peer offered a configuration that breaks a rule or contradicts the version in force.",
                      "Check that all control instances belong to the same cluster and share one log."},
+    EventDescription{Event::ViewSourceLost, Severity::Warning, "ViewSourceLost",
+                     "An entry no longer follows a control instance and asks another one.",
+                     "Look at the control instance and the network to it if it repeats."},
     EventDescription{
         Event::RecordQuorumMissing, Severity::Warning, "RecordQuorumMissing",
         "A non-idempotent request was refused because fewer than two instances stored its record.",
@@ -143,6 +146,17 @@
                      "A target gets no new work because it is draining.", "None."},
     EventDescription{Event::AnnouncementRejected, Severity::Warning, "AnnouncementRejected",
                      "An announcement of a target was rejected.", "Correct the settings of the target."},
+    EventDescription{Event::TargetSuspected, Severity::Warning, "TargetSuspected",
+                     "Callers of a target got no answer; it gets no new flows for a while and is checked.",
+                     "Look at the target if it repeats."},
+    EventDescription{Event::FlowPlaced, Severity::Information, "FlowPlaced",
+                     "The opening packet of a flow was sent to a target.", "None."},
+    EventDescription{Event::FlowReset, Severity::Information, "FlowReset",
+                     "A flow was reset to its caller; the reason says why.",
+                     "Look for missing routes or targets if the count keeps growing."},
+    EventDescription{Event::PacketDropped, Severity::Warning, "PacketDropped",
+                     "A packet of a caller was not forwarded; the reason says why.",
+                     "Look at the reason if the count keeps growing."},
 };
 
 } // namespace
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -36,6 +36,7 @@
     DuplicateInstance = 1214,
     ConfigurationInForce = 1250,
     ConfigurationRefused = 1251,
+    ViewSourceLost = 1270,
     RecordQuorumMissing = 1300,
     TryOverdue = 1301,
     SlotConfirmationMissing = 1302,
@@ -60,6 +61,10 @@
     HealthViewDoubted = 1406,
     TargetDraining = 1407,
     AnnouncementRejected = 1408,
+    TargetSuspected = 1409,
+    FlowPlaced = 1500,
+    FlowReset = 1501,
+    PacketDropped = 1502,
 };
 
 struct EventDescription
--- /dev/null
+++ b/Libraries/LibFrontEnd/HttpLink.cpp
@@ -0,0 +1,204 @@
+// Implements kept connections with Boost.Beast.
+
+#include <LibFrontEnd/IoContext.h>
+
+#include <boost/beast.hpp>
+
+#include <LibFrontEnd/HttpLink.h>
+#include <LibFrontEnd/HttpServer.h>
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <deque>
+#include <optional>
+
+namespace almondwing {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+struct WaitingCall
+{
+    HttpCall call;
+    HttpResult result;
+};
+
+} // namespace
+
+// All members but `waitingCount` are used on the strand only.
+struct HttpLink::State : std::enable_shared_from_this<HttpLink::State>
+{
+    State(boost::asio::io_context &context, Endpoint endpoint)
+        : strand(boost::asio::make_strand(context)), server(endpoint), hostHeader(endpoint.toString())
+    {
+    }
+
+    void add(WaitingCall waiting)
+    {
+        if (this->isClosed) {
+            this->waitingCount.fetch_sub(1);
+            waiting.result(absl::AbortedError("the connection is closed"));
+            return;
+        }
+        this->calls.push_back(std::move(waiting));
+        if (this->calls.size() == 1)
+            this->begin();
+    }
+
+    void begin()
+    {
+        if (this->stream) {
+            this->stream->expires_after(this->calls.front().call.timeout);
+            this->write();
+            return;
+        }
+        this->stream.emplace(this->strand);
+        this->stream->expires_after(this->calls.front().call.timeout);
+        this->stream->async_connect(
+            toAsio<tcp>(this->server),
+            [self = this->shared_from_this()](beast::error_code error) { self->noteConnected(error); });
+    }
+
+    void noteConnected(beast::error_code error)
+    {
+        if (error) {
+            this->finish(absl::UnavailableError(this->describe(error)));
+            return;
+        }
+        beast::error_code ignored;
+        this->stream->socket().set_option(tcp::no_delay(true), ignored);
+        this->write();
+    }
+
+    void write()
+    {
+        HttpCall const &call = this->calls.front().call;
+        this->request = {};
+        this->request.method(call.method == HttpMethod::Post ? http::verb::post : http::verb::get);
+        this->request.target(call.target);
+        this->request.version(11);
+        this->request.set(http::field::host, this->hostHeader);
+        this->request.keep_alive(true);
+        this->request.body() = call.body;
+        this->request.prepare_payload();
+        http::async_write(*this->stream, this->request,
+                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              if (error)
+                                  self->fail(error);
+                              else
+                                  self->read();
+                          });
+    }
+
+    void read()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(largestHttpBody);
+        http::async_read(*this->stream, this->buffer, *this->parser,
+                         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                             if (error)
+                                 self->fail(error);
+                             else
+                                 self->complete();
+                         });
+    }
+
+    void complete()
+    {
+        auto &message = this->parser->get();
+        HttpResponse response{.status = message.result_int(), .body = std::move(message.body())};
+        if (!message.keep_alive())
+            this->disconnect();
+        this->finish(std::move(response));
+    }
+
+    void fail(beast::error_code error)
+    {
+        if (error == beast::error::timeout)
+            this->finish(absl::DeadlineExceededError(this->describe(error)));
+        else
+            this->finish(absl::AbortedError(this->describe(error)));
+    }
+
+    std::string describe(beast::error_code error) const
+    {
+        return fmt::format("HTTP call to {}{}: {}", this->hostHeader, this->calls.front().call.target,
+                           error.message());
+    }
+
+    void finish(absl::StatusOr<HttpResponse> response)
+    {
+        if (!response.ok())
+            this->disconnect();
+        WaitingCall const ended = std::move(this->calls.front());
+        this->calls.pop_front();
+        this->waitingCount.fetch_sub(1);
+        ended.result(std::move(response));
+        if (!this->calls.empty() && !this->isClosed)
+            this->begin();
+    }
+
+    void disconnect()
+    {
+        this->stream.reset();
+        this->buffer.clear();
+    }
+
+    void close()
+    {
+        this->isClosed = true;
+        // The call in progress fails when its operation is cancelled.
+        if (this->stream)
+            this->stream->cancel();
+        while (this->calls.size() > 1) {
+            WaitingCall const last = std::move(this->calls.back());
+            this->calls.pop_back();
+            this->waitingCount.fetch_sub(1);
+            last.result(absl::AbortedError("the connection is closed"));
+        }
+    }
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand;
+    Endpoint server;
+    std::string hostHeader;
+    std::atomic<std::size_t> waitingCount{0}; // Calls without a result.
+    std::deque<WaitingCall> calls; // The first one is in progress.
+    std::optional<beast::tcp_stream> stream; // Absent while there is no connection.
+    bool isClosed = false;
+    http::request<http::string_body> request;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+HttpLink::HttpLink(IoRuntime &runtime, Endpoint server)
+    : state(std::make_shared<State>(runtime.context().asio, server))
+{
+}
+
+HttpLink::~HttpLink()
+{
+    this->close();
+}
+
+void HttpLink::call(HttpCall call, HttpResult result)
+{
+    if (this->state->waitingCount.fetch_add(1) >= largestWaiting) {
+        this->state->waitingCount.fetch_sub(1);
+        result(absl::ResourceExhaustedError("too many calls wait for the connection"));
+        return;
+    }
+    auto const waiting = std::make_shared<WaitingCall>(WaitingCall{std::move(call), std::move(result)});
+    boost::asio::post(this->state->strand,
+                      [state = this->state, waiting] { state->add(std::move(*waiting)); });
+}
+
+void HttpLink::close()
+{
+    boost::asio::post(this->state->strand, [state = this->state] { state->close(); });
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibFrontEnd/HttpLink.h
@@ -0,0 +1,35 @@
+// A connection to one server that is kept between calls. Calls go out one after the other.
+
+#pragma once
+
+#include <LibFrontEnd/HttpClient.h>
+
+#include <cstddef>
+#include <memory>
+
+namespace almondwing {
+
+class HttpLink
+{
+public:
+    HttpLink(IoRuntime &runtime, Endpoint server);
+    ~HttpLink();
+    HttpLink(HttpLink const &) = delete;
+    HttpLink &operator=(HttpLink const &) = delete;
+
+    // The server and bearer token of the call are not used. Its timeout begins when the calls before it have
+    // ended. A failed call closes the connection, and the next one opens another; see callHttp for the
+    // errors. With more than `largestWaiting` calls ahead it fails at once with ResourceExhausted.
+    void call(HttpCall call, HttpResult result);
+
+    // Fails the calls that wait, with Aborted.
+    void close();
+
+    static constexpr std::size_t largestWaiting = 64;
+
+private:
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace almondwing
--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -138,6 +138,8 @@
         this->count(response);
         this->message.emplace(http::int_to_status(response.status), 11);
         this->message->set(http::field::content_type, response.contentType);
+        if (!response.location.empty())
+            this->message->set(http::field::location, response.location);
         this->message->body() = response.body;
         this->message->keep_alive(this->parser->is_done() && this->parser->get().keep_alive());
         this->message->prepare_payload();
--- a/Libraries/LibFrontEnd/HttpTypes.h
+++ b/Libraries/LibFrontEnd/HttpTypes.h
@@ -31,6 +31,7 @@
     unsigned status = 200;
     std::string contentType = "application/json";
     std::string body;
+    std::string location; // Where a redirect leads; empty if there is none.
 
     bool isSuccess() const { return this->status >= 200 && this->status < 300; }
 
--- a/Libraries/LibFrontEnd/IoRuntime.cpp
+++ b/Libraries/LibFrontEnd/IoRuntime.cpp
@@ -23,6 +23,16 @@
     });
 }
 
+void waitForReload(std::shared_ptr<boost::asio::signal_set> const &signals, std::function<void()> reload)
+{
+    signals->async_wait([signals, reload = std::move(reload)](boost::system::error_code error, int) {
+        if (error)
+            return;
+        reload();
+        waitForReload(signals, reload);
+    });
+}
+
 } // namespace
 
 IoRuntime::IoRuntime() : io(std::make_unique<IoContext>()) { }
@@ -62,6 +72,11 @@
     });
 }
 
+void IoRuntime::onReloadSignal(std::function<void()> reload)
+{
+    waitForReload(std::make_shared<boost::asio::signal_set>(this->io->asio, SIGHUP), std::move(reload));
+}
+
 void IoRuntime::run(std::uint32_t threadCount)
 {
     auto const keepRunning = boost::asio::make_work_guard(this->io->asio);
--- a/Libraries/LibFrontEnd/IoRuntime.h
+++ b/Libraries/LibFrontEnd/IoRuntime.h
@@ -38,6 +38,9 @@
     // Calls the hook once for the first SIGTERM or SIGINT.
     void onStopSignal(std::function<void()> stop);
 
+    // Calls the hook for each SIGHUP.
+    void onReloadSignal(std::function<void()> reload);
+
     // Runs the loop on the given number of threads until stop() is called.
     void run(std::uint32_t threadCount);
     void stop();
--- /dev/null
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -0,0 +1,191 @@
+// Implements an entry.
+
+#include <LibNode/EntryNode.h>
+
+#include <LibCore/Try.h>
+#include <LibFrontEnd/ListenerCheck.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+// Flows are counted this often; new ones count at once.
+constexpr Duration sweepInterval = 500ms;
+
+// Held packets are tried again this often, beside each change of the view.
+constexpr Duration retryInterval = 100ms;
+
+constexpr Duration listenerTimeout = 300ms;
+
+// The fabric asks twice a second and needs two refusals; the rest is for packets that are on their way.
+constexpr Duration longestDrain = 2500ms;
+
+std::uint64_t randomNumber()
+{
+    thread_local std::mt19937_64 generator{(std::uint64_t{std::random_device{}()} << 32U)
+                                           ^ std::random_device{}()};
+    return generator();
+}
+
+} // namespace
+
+EntryNode::EntryNode(IoRuntime &ioRuntime, NodeSettings nodeSettings, PacketAdapter packetAdapter,
+                     EventReporter eventReporter)
+    : runtime(ioRuntime), settings(std::move(nodeSettings)), adapter(std::move(packetAdapter)),
+      report(std::move(eventReporter)),
+      router(
+          board,
+          PlacementSettings{.failureDomain = settings.failureDomain,
+                            .coldFlowsPerSecond = settings.coldFlowsPerSecond},
+          TokenRouterHooks{.random = randomNumber,
+                           .checkTarget = [this](ViewTarget const &target) { this->checkTarget(target); }}),
+      held(HeldPacketLimits{}),
+      follower(
+          ioRuntime, settings, board,
+          FollowerHooks{.viewChanged = [this] { this->retryHeld(); },
+                        .entriesKnown = [this](std::uint32_t entries) { this->router.setSharers(entries); },
+                        .activity = [this] { return *this->activity.read(); },
+                        .report = this->report})
+{
+}
+
+Duration EntryNode::drainTime(NodeSettings const &settings)
+{
+    return std::min<Duration>(longestDrain, settings.stopTime / 2);
+}
+
+absl::Status EntryNode::open()
+{
+    this->socket = TRY(UdpSocket::open(this->runtime, *this->settings.packets));
+    HttpServerHooks hooks{
+        .handle =
+            [this](HttpRequest const &request, HttpRespond const &respond) {
+                bool const isKnown = request.path == this->adapter.readinessPath;
+                respond(HttpResponse{.status = !isKnown    ? 404U
+                                         : this->isReady() ? 200U
+                                                           : 503U,
+                                     .body = "{}"});
+            },
+        .reportRefusal = [this](std::string const &text) { this->report(Event::InputDropped, text); }};
+    this->readiness = TRY(HttpServer::open(this->runtime, *this->settings.readiness, std::move(hooks)));
+    return absl::OkStatus();
+}
+
+void EntryNode::start()
+{
+    this->socket->receive([this](Endpoint, std::string_view datagram) {
+        Timestamp const now = IoRuntime::now();
+        this->handleDatagram(datagram, PacketTimes{.arrivedAt = now, .now = now});
+    });
+    this->runtime.runEvery(sweepInterval, [this] {
+        auto counts = sweepFlows(this->board, IoRuntime::now());
+        this->activity.update([&counts](auto const &) { return counts; });
+    });
+    this->runtime.runEvery(retryInterval, [this] { this->retryHeld(); });
+    this->follower.start();
+}
+
+bool EntryNode::isReady() const
+{
+    return !this->isStopping && this->board.view.select([](ServingView const &view) {
+        return view.hasConfiguration() && (view.isRegistryComplete || !view.targets.empty());
+    });
+}
+
+void EntryNode::handleDatagram(std::string_view datagram, PacketTimes times)
+{
+    auto const packet = this->adapter.decode(datagram);
+    if (!packet) {
+        this->undecodable.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    std::visit([&](auto const &decision) { this->act(datagram, *packet, decision, times); },
+               this->router.decide(*packet, times.now));
+}
+
+void EntryNode::act(std::string_view datagram, FlowPacket const &packet, ForwardPacket const &decision,
+                    PacketTimes)
+{
+    this->forwarded.fetch_add(1, std::memory_order_relaxed);
+    this->socket->send(decision.endpoint, this->adapter.encodeForward(datagram, decision));
+    if (packet.kind == PacketKind::Open)
+        this->report(Event::FlowPlaced,
+                     fmt::format("caller={} service={} target={:x} endpoint={} copy={}",
+                                 packet.flow.caller.toString(), packet.flow.service.toString(),
+                                 decision.target.value, decision.endpoint.toString(),
+                                 packet.acknowledgement));
+}
+
+void EntryNode::act(std::string_view, FlowPacket const &packet, ResetFlow const &decision, PacketTimes)
+{
+    this->resets.fetch_add(1, std::memory_order_relaxed);
+    this->socket->send(Endpoint{.address = packet.flow.caller.address, .port = this->settings.packets->port},
+                       this->adapter.encodeReset(packet));
+    this->board.flows.remove(packet.flow);
+    this->report(Event::FlowReset,
+                 fmt::format("caller={} service={} reason={} token={:x}", packet.flow.caller.toString(),
+                             packet.flow.service.toString(), std::string(nameOf(decision.reason)),
+                             packet.token.value));
+}
+
+void EntryNode::act(std::string_view datagram, FlowPacket const &packet, HoldPacket const &,
+                    PacketTimes times)
+{
+    this->holds.fetch_add(1, std::memory_order_relaxed);
+    if (this->held.hold(datagram, times.arrivedAt, times.now))
+        return;
+    this->drops.fetch_add(1, std::memory_order_relaxed);
+    this->report(Event::PacketDropped,
+                 fmt::format("caller={} service={} reason=hold-full", packet.flow.caller.toString(),
+                             packet.flow.service.toString()));
+}
+
+void EntryNode::act(std::string_view, FlowPacket const &packet, DropPacket const &decision, PacketTimes)
+{
+    this->drops.fetch_add(1, std::memory_order_relaxed);
+    this->report(Event::PacketDropped,
+                 fmt::format("caller={} service={} reason={} token={:x}", packet.flow.caller.toString(),
+                             packet.flow.service.toString(), std::string(nameOf(decision.reason)),
+                             packet.token.value));
+}
+
+// A packet that still can't be decided is held again until its time is over.
+void EntryNode::retryHeld()
+{
+    Timestamp const now = IoRuntime::now();
+    for (HeldPackets::Held const &entry : this->held.takeAll(now))
+        this->handleDatagram(entry.packet, PacketTimes{.arrivedAt = entry.arrivedAt, .now = now});
+}
+
+void EntryNode::checkTarget(ViewTarget const &target)
+{
+    this->report(Event::TargetSuspected,
+                 fmt::format("target={:x} endpoint={}", target.target.number.value,
+                             target.target.endpoint.toString()));
+    checkListener(this->runtime, target.target.endpoint, listenerTimeout,
+                  [this, ended = target.target](ListenerState state) {
+                      if (state != ListenerState::Refuses)
+                          return;
+                      this->report(Event::TargetGone,
+                                   fmt::format("target={:x} endpoint={} refused a connection",
+                                               ended.number.value, ended.endpoint.toString()));
+                      this->follower.reportEnded(ended);
+                  });
+}
+
+EntryCounters EntryNode::counters() const
+{
+    return EntryCounters{.forwarded = this->forwarded,
+                         .reset = this->resets,
+                         .held = this->holds,
+                         .dropped = this->drops,
+                         .undecodable = this->undecodable};
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibNode/NodeWire.h
@@ -0,0 +1,113 @@
+// Messages between instances that route by tokens, and their JSON codec. Times travel as ages, because the
+// clocks of instances differ.
+
+#pragma once
+
+#include <LibRegistry/PeerDirectory.h>
+#include <LibTokenRouting/FlowConfiguration.h>
+#include <LibTokenRouting/TokenBoard.h>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondwing {
+
+constexpr std::string_view viewPath = "/v1/view";
+constexpr std::string_view registryPath = "/v1/registry";
+constexpr std::string_view replicationPath = "/v1/replication";
+
+struct EndedTarget
+{
+    TargetNumber number;
+    std::int64_t bornMilliseconds = 0;
+
+    friend bool operator==(EndedTarget const &, EndedTarget const &) = default;
+};
+
+// An entry asks for what has changed since; the answer waits until something has.
+struct ViewRequest
+{
+    std::string instance;
+    std::string failureDomain;
+    std::uint64_t boot = 0; // Of the process that answered last; the generation belongs to it.
+    std::uint64_t registryGeneration = 0;
+    std::uint64_t revision = 0; // Of the configuration log, as far as the entry has it.
+    std::vector<TargetActivity> activity; // Flows of this entry at each target.
+    std::vector<EndedTarget> ended; // Targets that the entry found ended.
+
+    friend bool operator==(ViewRequest const &, ViewRequest const &) = default;
+};
+
+// What the configuration log says at one revision.
+struct ConfigurationView
+{
+    std::uint64_t revision = 0;
+    FlowConfiguration configuration;
+    std::set<std::string> domainsTakenOut;
+
+    friend bool operator==(ConfigurationView const &, ConfigurationView const &) = default;
+};
+
+enum class RegistryExtent : std::uint8_t { Difference = 0, Full = 1 };
+
+struct ViewReply
+{
+    std::uint64_t boot = 0;
+    std::uint64_t registryGeneration = 0;
+    RegistryExtent extent = RegistryExtent::Difference;
+    bool isComplete = false; // The control instance has had the time to hear of every target.
+    bool isInContact = false; // It is in contact with a majority of the configuration log.
+    std::optional<ConfigurationView> configuration; // Only if it is newer than the request says.
+    std::vector<RegisteredTarget> targets; // Changed ones.
+    std::vector<TargetNumber> overdue; // Targets whose heartbeats have stopped.
+    std::vector<ControlPeer> controls;
+    std::uint32_t entries = 1; // All that are known.
+    std::vector<TargetActivity> activity; // Flows of all other entries at each target.
+
+    friend bool operator==(ViewReply const &, ViewReply const &) = default;
+};
+
+// Between control instances.
+struct RegistryExchange
+{
+    Endpoint from;
+    std::string failureDomain;
+    std::uint64_t boot = 0;
+    std::vector<ControlPeer> peers; // heardAt is meaningful only as "lately or not".
+    std::vector<Endpoint> hears; // Peers that the sender has heard directly a short time ago.
+    std::vector<RegisteredTarget> targets;
+    std::uint32_t entries = 0; // That follow the sender.
+    std::vector<TargetActivity> activity; // Of those entries.
+
+    friend bool operator==(RegistryExchange const &, RegistryExchange const &) = default;
+};
+
+struct RegistryExchangeReply
+{
+    std::uint64_t boot = 0; // Of the receiver; if it is another one than before, it needs everything again.
+
+    friend bool operator==(RegistryExchangeReply const &, RegistryExchangeReply const &) = default;
+};
+
+// `now` is the local time that ages refer to. The parse functions refuse anything that does not decode
+// completely.
+std::string formatViewRequest(ViewRequest const &request);
+absl::StatusOr<ViewRequest> parseViewRequest(std::string_view text);
+std::string formatViewReply(ViewReply const &reply, Timestamp now);
+absl::StatusOr<ViewReply> parseViewReply(std::string_view text, Timestamp now);
+std::string formatRegistryExchange(RegistryExchange const &exchange, Timestamp now);
+absl::StatusOr<RegistryExchange> parseRegistryExchange(std::string_view text, Timestamp now);
+std::string formatRegistryExchangeReply(RegistryExchangeReply const &reply);
+absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text);
+
+// The registry as a control instance keeps it on its disk for its next start.
+std::string formatTargets(std::vector<RegisteredTarget> const &targets, Timestamp now);
+absl::StatusOr<std::vector<RegisteredTarget>> parseTargets(std::string_view text, Timestamp now);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -0,0 +1,204 @@
+// Implements following the view.
+
+#include <LibNode/ViewFollower.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+// A control instance answers within 400 ms even if nothing has changed.
+constexpr Duration requestTimeout = 800ms;
+
+// Before the next instance is asked; several that are down are tried in turn.
+constexpr Duration retryDelay = 50ms;
+
+// An instance that is out of contact is left for another after this time; in a failure domain that is cut off
+// all are.
+constexpr Duration outOfContactLimit = 500ms;
+
+// Heartbeats do not reach entries, so a record is kept well beyond the lifetime of any flow.
+constexpr Duration registryRetention = 1h;
+
+} // namespace
+
+ViewFollower::ViewFollower(IoRuntime &ioRuntime, NodeSettings const &nodeSettings, TokenBoard &tokenBoard,
+                           FollowerHooks followerHooks)
+    : runtime(ioRuntime), instance(nodeSettings.instance), failureDomain(nodeSettings.failureDomain),
+      board(tokenBoard), hooks(std::move(followerHooks)),
+      registry(RegistrySettings{.heartbeatInterval = nodeSettings.heartbeatInterval,
+                                .retention = registryRetention}),
+      queue(ioRuntime)
+{
+    this->learnSeeds(nodeSettings.seeds);
+}
+
+void ViewFollower::learnSeeds(std::vector<Endpoint> const &seeds)
+{
+    for (Endpoint const seed : seeds)
+        this->directory.learn(seed, "");
+}
+
+void ViewFollower::start()
+{
+    this->queue.post([this] { this->ask(); });
+}
+
+// The own failure domain first: it is nearer, and reachable when other failure domains are not.
+std::vector<Endpoint> ViewFollower::candidates() const
+{
+    std::vector<Endpoint> own;
+    std::vector<Endpoint> others;
+    for (auto const &[endpoint, peer] : this->directory.peers())
+        (peer.failureDomain == this->failureDomain ? own : others).push_back(endpoint);
+    // Entries that prefer different instances outside their failure domain share the load.
+    if (!others.empty())
+        std::ranges::rotate(
+            others, others.begin() + static_cast<std::ptrdiff_t>(hashText(this->instance) % others.size()));
+    own.insert(own.end(), others.begin(), others.end());
+    return own;
+}
+
+void ViewFollower::chooseSource(Timestamp now)
+{
+    if (this->source)
+        return;
+    auto const endpoints = this->candidates();
+    if (endpoints.empty())
+        return;
+    Endpoint const chosen = endpoints[this->nextCandidate++ % endpoints.size()];
+    this->source = Source{.endpoint = chosen, .link = std::make_shared<HttpLink>(this->runtime, chosen)};
+    this->sourceSince = now;
+}
+
+void ViewFollower::leaveSource(std::string const &reason)
+{
+    if (!this->source)
+        return;
+    this->hooks.report(Event::ViewSourceLost,
+                       fmt::format("source={} {}", this->source->endpoint.toString(), reason));
+    this->source.reset();
+}
+
+void ViewFollower::ask()
+{
+    this->chooseSource(IoRuntime::now());
+    if (!this->source) {
+        this->askLater();
+        return;
+    }
+    ViewRequest const request{.instance = this->instance,
+                              .failureDomain = this->failureDomain,
+                              .boot = this->source->boot,
+                              .registryGeneration = this->source->registryGeneration,
+                              .revision = this->configuration ? this->configuration->revision : 0,
+                              .activity = this->hooks.activity(),
+                              .ended = this->ended};
+    HttpCall const call{.server = this->source->endpoint,
+                        .method = HttpMethod::Post,
+                        .target = std::string(viewPath),
+                        .body = formatViewRequest(request),
+                        .timeout = requestTimeout};
+    this->source->link->call(call,
+                             [this, link = this->source->link,
+                              told = request.ended](absl::StatusOr<HttpResponse> const &response) {
+                                 this->queue.post(
+                                     [this, told, response] { this->handleReply(told, response); });
+                             });
+}
+
+void ViewFollower::askLater()
+{
+    this->runtime.runAfter(retryDelay, [this] { this->queue.post([this] { this->ask(); }); });
+}
+
+void ViewFollower::handleReply(std::vector<EndedTarget> const &told,
+                               absl::StatusOr<HttpResponse> const &response)
+{
+    Timestamp const now = IoRuntime::now();
+    absl::StatusOr<ViewReply> const reply = response.ok() && response->isSuccess()
+        ? parseViewReply(response->body, now)
+        : absl::StatusOr<ViewReply>(response.ok() ? absl::UnavailableError("no success") : response.status());
+    if (!reply.ok()) {
+        this->leaveSource(fmt::format("reason=\"{}\"", std::string(reply.status().message())));
+        this->askLater();
+        return;
+    }
+    std::erase_if(this->ended,
+                  [&](EndedTarget const &target) { return std::ranges::find(told, target) != told.end(); });
+    this->apply(*reply, now);
+    // Without contact the others are asked, too; with none in contact this one is as good as any.
+    if (reply->isInContact)
+        this->nextCandidate = 0;
+    else if (now - this->sourceSince > outOfContactLimit)
+        this->leaveSource("reason=out-of-contact");
+    this->ask();
+}
+
+void ViewFollower::apply(ViewReply const &reply, Timestamp now)
+{
+    this->source->boot = reply.boot;
+    this->source->registryGeneration = reply.registryGeneration;
+    for (ControlPeer const &peer : reply.controls)
+        this->directory.learn(peer.endpoint, peer.failureDomain);
+    bool isChanged = false;
+    for (RegisteredTarget const &target : reply.targets)
+        isChanged |= this->registry.merge(target, now) == MergeOutcome::Changed;
+    std::set<TargetNumber> const nowOverdue(reply.overdue.begin(), reply.overdue.end());
+    isChanged |= std::exchange(this->overdue, nowOverdue) != nowOverdue;
+    std::uint64_t const known = this->configuration ? this->configuration->revision : 0;
+    if (reply.configuration && reply.configuration->revision > known
+        && reply.configuration->configuration.version != 0) {
+        this->configuration = reply.configuration;
+        isChanged = true;
+    }
+    ViewFreshness const before = this->freshness();
+    this->currentFreshness.update([&](ViewFreshness freshness) {
+        if (reply.isInContact)
+            freshness.answeredAt = now;
+        freshness.isRegistryComplete |= reply.isComplete;
+        return freshness;
+    });
+    isChanged |= before.isRegistryComplete != this->freshness().isRegistryComplete;
+    this->hooks.entriesKnown(reply.entries);
+    noteRemoteActivity(this->board, reply.activity);
+    if (isChanged)
+        this->publishView(now);
+}
+
+void ViewFollower::publishView(Timestamp now)
+{
+    this->registry.forgetOld(now);
+    std::vector<ViewTarget> targets;
+    for (RegisteredTarget const &target : this->registry.all())
+        targets.push_back(ViewTarget{.target = target, .isOverdue = this->overdue.contains(target.number)});
+    ConfigurationView const known = this->configuration.value_or(ConfigurationView{});
+    ServingView view = makeServingView(known.configuration, std::move(targets), known.domainsTakenOut);
+    view.isRegistryComplete = this->freshness().isRegistryComplete;
+    this->board.view.update([&view](ServingView const &) { return view; });
+    this->currentFreshness.update([&known](ViewFreshness freshness) {
+        freshness.revision = known.revision;
+        return freshness;
+    });
+    this->hooks.viewChanged();
+}
+
+void ViewFollower::reportEnded(RegisteredTarget const &target)
+{
+    this->queue.post([this, target] { this->endTarget(target, IoRuntime::now()); });
+}
+
+void ViewFollower::endTarget(RegisteredTarget const &target, Timestamp now)
+{
+    if (this->registry.markGone(target.number, target.order.bornMilliseconds, now) != MergeOutcome::Changed)
+        return;
+    this->ended.push_back(
+        EndedTarget{.number = target.number, .bornMilliseconds = target.order.bornMilliseconds});
+    this->publishView(now);
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibNode/ViewFollower.h
@@ -0,0 +1,94 @@
+// Keeps the view of an entry up to date: asks one control instance after the other, those of the own failure
+// domain first, and stays with one that is in contact with a majority.
+
+#pragma once
+
+#include <LibCore/EventCatalogue.h>
+#include <LibFrontEnd/HttpLink.h>
+#include <LibNode/NodeWire.h>
+#include <LibRegistry/PeerDirectory.h>
+#include <LibRegistry/TargetRegistry.h>
+#include <LibSettings/NodeSettings.h>
+#include <LibTokenRouting/TokenBoard.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace almondwing {
+
+struct FollowerHooks
+{
+    std::function<void()> viewChanged;
+    std::function<void(std::uint32_t entries)> entriesKnown;
+    std::function<std::vector<TargetActivity>()> activity; // Of this entry.
+    EventReporter report;
+};
+
+// What is known of how current the view is.
+struct ViewFreshness
+{
+    Timestamp answeredAt; // By a control instance in contact with a majority; the beginning of time before.
+    std::uint64_t revision = 0;
+    bool isRegistryComplete = false;
+
+    friend bool operator==(ViewFreshness const &, ViewFreshness const &) = default;
+};
+
+class ViewFollower
+{
+public:
+    ViewFollower(IoRuntime &ioRuntime, NodeSettings const &nodeSettings, TokenBoard &tokenBoard,
+                 FollowerHooks followerHooks);
+
+    void start();
+
+    // A target that has ended for certain; the control instances are told with the next request.
+    void reportEnded(RegisteredTarget const &target);
+
+    void learnSeeds(std::vector<Endpoint> const &seeds);
+
+    ViewFreshness freshness() const { return *this->currentFreshness.read(); }
+
+private:
+    struct Source
+    {
+        Endpoint endpoint;
+        std::shared_ptr<HttpLink> link;
+        std::uint64_t boot = 0;
+        std::uint64_t registryGeneration = 0;
+    };
+
+    void ask();
+    void askLater();
+    void handleReply(std::vector<EndedTarget> const &told, absl::StatusOr<HttpResponse> const &response);
+    void apply(ViewReply const &reply, Timestamp now);
+    void endTarget(RegisteredTarget const &target, Timestamp now);
+    void chooseSource(Timestamp now);
+    void leaveSource(std::string const &reason);
+    void publishView(Timestamp now);
+    std::vector<Endpoint> candidates() const;
+
+    IoRuntime &runtime;
+    std::string instance;
+    std::string failureDomain;
+    TokenBoard &board;
+    FollowerHooks hooks;
+    TargetRegistry registry;
+    PeerDirectory directory;
+    Cell<ViewFreshness> currentFreshness;
+
+    SerialQueue queue;
+
+    // Touched only by work on the queue.
+    std::optional<Source> source;
+    std::size_t nextCandidate = 0;
+    Timestamp sourceSince;
+    std::optional<ConfigurationView> configuration; // Its revision never falls.
+    std::set<TargetNumber> overdue;
+    std::vector<EndedTarget> ended;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -0,0 +1,105 @@
+// Implements answering entries.
+
+#include <LibNode/ViewServer.h>
+
+#include <utility>
+
+namespace almondwing {
+
+ViewServer::ViewServer(ViewServerSettings viewSettings, DocumentLog &documentLog,
+                       TargetRegistry &targetRegistry, PeerDirectory &peerDirectory,
+                       ActivityBoard &activityBoard)
+    : settings(viewSettings), log(documentLog), registry(targetRegistry), directory(peerDirectory),
+      activity(activityBoard)
+{
+}
+
+std::vector<TargetNumber> ViewServer::overdueTargets(Timestamp now) const
+{
+    std::vector<TargetNumber> overdue;
+    for (RegisteredTarget const &target : this->registry.all()) {
+        if (target.state == RegisteredState::Ready && this->registry.isOverdue(target, now))
+            overdue.push_back(target.number);
+    }
+    return overdue;
+}
+
+void ViewServer::handle(ViewRequest request, HttpRespond respond, Timestamp now)
+{
+    this->activity.reportEntry(request.instance, request.activity, now);
+    for (EndedTarget const &target : request.ended)
+        this->registry.markGone(target.number, target.bornMilliseconds, now);
+    {
+        std::scoped_lock const lock(this->mutex);
+        this->waiting.push_back(Waiting{.request = std::move(request),
+                                        .respond = std::move(respond),
+                                        .deadline = now + this->settings.longestWait,
+                                        .wasInContact = this->log.contact()->isInContact,
+                                        .overdue = this->overdueTargets(now)});
+    }
+    this->answerDue(now);
+}
+
+bool ViewServer::isDue(Waiting const &entry, std::vector<TargetNumber> const &overdue, Timestamp now) const
+{
+    return now >= entry.deadline || entry.request.boot != this->settings.boot
+        || this->registry.changeGeneration() > entry.request.registryGeneration
+        || this->log.applied()->view.revision > entry.request.revision
+        || this->log.contact()->isInContact != entry.wasInContact || overdue != entry.overdue;
+}
+
+ViewReply ViewServer::replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue,
+                              Timestamp now) const
+{
+    bool const isSameBoot = request.boot == this->settings.boot;
+    ViewReply reply{.boot = this->settings.boot,
+                    .registryGeneration = this->registry.changeGeneration(),
+                    .extent = isSameBoot ? RegistryExtent::Difference : RegistryExtent::Full,
+                    .isComplete = now - this->settings.startedAt >= this->settings.completeAfter,
+                    .isInContact = this->log.contact()->isInContact,
+                    .overdue = std::move(overdue)};
+    for (RegistryEntry const &entry :
+         this->registry.changedAfter(isSameBoot ? request.registryGeneration : 0))
+        reply.targets.push_back(entry.target);
+    if (auto const applied = this->log.applied(); applied->view.revision > request.revision)
+        reply.configuration = applied->view;
+    if (!isSameBoot || reply.configuration) {
+        for (auto const &[endpoint, peer] : this->directory.peers())
+            reply.controls.push_back(peer);
+    }
+    ActivitySum sum = this->activity.allBut(request.instance, now);
+    reply.entries = sum.entries;
+    reply.activity = std::move(sum.activity);
+    return reply;
+}
+
+void ViewServer::answerDue(Timestamp now)
+{
+    std::vector<TargetNumber> const overdue = this->overdueTargets(now);
+    std::vector<Waiting> due;
+    {
+        std::scoped_lock const lock(this->mutex);
+        std::erase_if(this->waiting, [&](Waiting &entry) {
+            if (!this->isDue(entry, overdue, now))
+                return false;
+            due.push_back(std::move(entry));
+            return true;
+        });
+    }
+    for (Waiting const &entry : due) {
+        ViewReply const reply = this->replyTo(entry.request, overdue, now);
+        entry.respond(HttpResponse{.body = formatViewReply(reply, now)});
+    }
+}
+
+void ViewServer::answerAll(Timestamp now)
+{
+    {
+        std::scoped_lock const lock(this->mutex);
+        for (Waiting &entry : this->waiting)
+            entry.deadline = now;
+    }
+    this->answerDue(now);
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibNode/ViewServer.h
@@ -0,0 +1,67 @@
+// Answers entries that ask for the view: at once if something has changed, else after a while.
+
+#pragma once
+
+#include <LibFrontEnd/HttpTypes.h>
+#include <LibNode/ActivityBoard.h>
+#include <LibNode/DocumentLog.h>
+#include <LibNode/NodeWire.h>
+#include <LibRegistry/PeerDirectory.h>
+#include <LibRegistry/TargetRegistry.h>
+
+#include <mutex>
+#include <vector>
+
+namespace almondwing {
+
+struct ViewServerSettings
+{
+    std::uint64_t boot = 0; // Of this process.
+    // An entry learns within this time that its control instance is gone; each answer costs about 300 bytes.
+    Duration longestWait = 400ms;
+    // After so long every target has sent a heartbeat here or to a peer: two intervals, and 1 s for a target
+    // that first tries an instance that does not answer.
+    Duration completeAfter = 3400ms;
+    Timestamp startedAt;
+
+    friend bool operator==(ViewServerSettings const &, ViewServerSettings const &) = default;
+};
+
+class ViewServer
+{
+public:
+    ViewServer(ViewServerSettings viewSettings, DocumentLog &documentLog, TargetRegistry &targetRegistry,
+               PeerDirectory &peerDirectory, ActivityBoard &activityBoard);
+
+    void handle(ViewRequest request, HttpRespond respond, Timestamp now);
+
+    // Answers the requests for which something has changed or that have waited long enough.
+    void answerDue(Timestamp now);
+
+    // Answers all that wait, before a planned stop.
+    void answerAll(Timestamp now);
+
+private:
+    struct Waiting
+    {
+        ViewRequest request;
+        HttpRespond respond;
+        Timestamp deadline;
+        bool wasInContact = false;
+        std::vector<TargetNumber> overdue;
+    };
+
+    bool isDue(Waiting const &waiting, std::vector<TargetNumber> const &overdue, Timestamp now) const;
+    ViewReply replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue, Timestamp now) const;
+    std::vector<TargetNumber> overdueTargets(Timestamp now) const;
+
+    ViewServerSettings settings;
+    DocumentLog &log;
+    TargetRegistry &registry;
+    PeerDirectory &directory;
+    ActivityBoard &activity;
+    std::mutex mutex; // Guards waiting.
+    std::vector<Waiting> waiting;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -0,0 +1,189 @@
+// Implements the registry of targets.
+
+#include <LibRegistry/TargetRegistry.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+// Clocks of reports run apart by their transit time; smaller differences of the end of a cold phase mean
+// nothing.
+constexpr Duration coldTolerance = 500ms;
+
+bool differsForRouting(RegisteredTarget const &known, RegisteredTarget const &report, Timestamp now)
+{
+    bool const isColdChanged = known.isColdAt(now) != report.isColdAt(now)
+        || (report.isColdAt(now) && std::chrono::abs(known.coldUntil - report.coldUntil) > coldTolerance);
+    return isColdChanged || known.order.bornMilliseconds != report.order.bornMilliseconds
+        || known.service != report.service || known.failureDomain != report.failureDomain
+        || known.endpoint != report.endpoint || known.slots != report.slots || known.state != report.state;
+}
+
+bool isFinal(RegisteredTarget const &known, RegisteredTarget const &report)
+{
+    return known.state == RegisteredState::Gone
+        && report.order.bornMilliseconds <= known.order.bornMilliseconds;
+}
+
+} // namespace
+
+MergeOutcome TargetRegistry::merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter)
+{
+    if (report.state == RegisteredState::Gone)
+        return this->markGone(report.number, report.order.bornMilliseconds, now);
+    // A late report of a target whose address another one has since taken over.
+    if (this->hasSuccessor(report))
+        return MergeOutcome::Unchanged;
+    MergeOutcome const outcome = this->store(report, now, reporter);
+    if (outcome == MergeOutcome::Changed)
+        this->endPredecessors(report, now);
+    return outcome;
+}
+
+// A report of the same order says nothing new; its age may differ by the transit time.
+MergeOutcome TargetRegistry::store(RegisteredTarget const &report, Timestamp now, Endpoint reporter)
+{
+    MergeOutcome outcome = MergeOutcome::Unchanged;
+    std::uint64_t const generation = this->nextGeneration();
+    this->entries.update(
+        report.number, [&](std::optional<RegistryEntry> const &known) -> std::optional<RegistryEntry> {
+            outcome = MergeOutcome::Unchanged;
+            if (!known) {
+                outcome = MergeOutcome::Changed;
+                return RegistryEntry{.target = report,
+                                     .changeGeneration = generation,
+                                     .heardGeneration = generation,
+                                     .reporter = reporter};
+            }
+            if (isFinal(known->target, report) || report.order <= known->target.order)
+                return std::nullopt;
+            bool const isChanged = differsForRouting(known->target, report, now);
+            outcome = isChanged ? MergeOutcome::Changed : MergeOutcome::Heard;
+            RegistryEntry next{.target = report,
+                               .changeGeneration = isChanged ? generation : known->changeGeneration,
+                               .heardGeneration = generation,
+                               .reporter = reporter};
+            next.target.heardAt = std::max(report.heardAt, known->target.heardAt);
+            return next;
+        });
+    if (outcome == MergeOutcome::Changed)
+        this->lastChange.store(generation, std::memory_order_release);
+    return outcome;
+}
+
+MergeOutcome TargetRegistry::markGone(TargetNumber number, std::int64_t bornMilliseconds, Timestamp now)
+{
+    MergeOutcome outcome = MergeOutcome::Unchanged;
+    std::uint64_t const generation = this->nextGeneration();
+    this->entries.update(
+        number, [&](std::optional<RegistryEntry> const &known) -> std::optional<RegistryEntry> {
+            outcome = MergeOutcome::Unchanged;
+            if (!known || known->target.state == RegisteredState::Gone
+                || known->target.order.bornMilliseconds > bornMilliseconds)
+                return std::nullopt;
+            outcome = MergeOutcome::Changed;
+            RegistryEntry next{
+                .target = known->target, .changeGeneration = generation, .heardGeneration = generation};
+            next.target.state = RegisteredState::Gone;
+            next.target.heardAt = now;
+            return next;
+        });
+    if (outcome == MergeOutcome::Changed)
+        this->lastChange.store(generation, std::memory_order_release);
+    return outcome;
+}
+
+// An address belongs to one target at a time, so an earlier target there has ended.
+void TargetRegistry::endPredecessors(RegisteredTarget const &report, Timestamp now)
+{
+    std::vector<RegisteredTarget> ended;
+    this->entries.forEach([&](TargetNumber number, RegistryEntry const &entry) {
+        if (number != report.number && entry.target.endpoint == report.endpoint
+            && entry.target.state != RegisteredState::Gone
+            && entry.target.order.bornMilliseconds < report.order.bornMilliseconds)
+            ended.push_back(entry.target);
+    });
+    for (RegisteredTarget const &target : ended)
+        this->markGone(target.number, target.order.bornMilliseconds, now);
+}
+
+bool TargetRegistry::hasSuccessor(RegisteredTarget const &report) const
+{
+    bool isFound = false;
+    this->entries.forEach([&](TargetNumber number, RegistryEntry const &entry) {
+        isFound |= number != report.number && entry.target.endpoint == report.endpoint
+            && entry.target.order.bornMilliseconds > report.order.bornMilliseconds;
+    });
+    return isFound;
+}
+
+void TargetRegistry::treatAsCold(std::string const &failureDomain, Timestamp until)
+{
+    for (RegisteredTarget const &target : this->all()) {
+        if (target.failureDomain != failureDomain || target.state == RegisteredState::Gone)
+            continue;
+        std::uint64_t const generation = this->nextGeneration();
+        this->entries.update(
+            target.number, [&](std::optional<RegistryEntry> const &known) -> std::optional<RegistryEntry> {
+                if (!known || known->target.coldUntil >= until)
+                    return std::nullopt;
+                RegistryEntry next{
+                    .target = known->target, .changeGeneration = generation, .heardGeneration = generation};
+                next.target.coldUntil = until;
+                return next;
+            });
+        this->lastChange.store(generation, std::memory_order_release);
+    }
+}
+
+void TargetRegistry::forgetOld(Timestamp now)
+{
+    for (RegisteredTarget const &target : this->all()) {
+        if (now - target.heardAt > this->settings.retention)
+            this->entries.remove(target.number);
+    }
+}
+
+std::optional<RegisteredTarget> TargetRegistry::find(TargetNumber number) const
+{
+    auto const entry = this->entries.read(number);
+    return entry ? std::optional(entry->value.target) : std::nullopt;
+}
+
+std::vector<RegisteredTarget> TargetRegistry::all() const
+{
+    std::vector<RegisteredTarget> targets;
+    this->entries.forEach([&](TargetNumber, RegistryEntry const &entry) { targets.push_back(entry.target); });
+    std::ranges::sort(targets, {}, &RegisteredTarget::number);
+    return targets;
+}
+
+bool TargetRegistry::isOverdue(RegisteredTarget const &target, Timestamp now) const
+{
+    return now - target.heardAt
+        > this->settings.missedHeartbeats * this->settings.heartbeatInterval + this->settings.heartbeatMargin;
+}
+
+std::vector<RegistryEntry> TargetRegistry::changedAfter(std::uint64_t generation) const
+{
+    std::vector<RegistryEntry> changed;
+    this->entries.forEach([&](TargetNumber, RegistryEntry const &entry) {
+        if (entry.changeGeneration > generation)
+            changed.push_back(entry);
+    });
+    return changed;
+}
+
+std::vector<RegistryEntry> TargetRegistry::heardAfter(std::uint64_t generation) const
+{
+    std::vector<RegistryEntry> heard;
+    this->entries.forEach([&](TargetNumber, RegistryEntry const &entry) {
+        if (entry.heardGeneration > generation)
+            heard.push_back(entry);
+    });
+    return heard;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -0,0 +1,89 @@
+// The registry of targets on the blackboard: soft state from heartbeats. Records are merged by (start,
+// sequence), so copies on several instances agree whatever the order in which they exchange them.
+
+#pragma once
+
+#include <LibBlackboard/ShardedTable.h>
+#include <LibRegistry/RegisteredTarget.h>
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+struct RegistrySettings
+{
+    Duration heartbeatInterval = 1200ms; // As the platform announces it.
+    // A target whose heartbeats stop gets no new flows after this many intervals and the margin. A target
+    // tries the next control instance after 1 s without an answer.
+    int missedHeartbeats = 2;
+    Duration heartbeatMargin = 1200ms;
+    // Records stay this long after the last heartbeat, so that packets of the last flows find their target.
+    Duration retention = 60s;
+};
+
+enum class MergeOutcome : std::uint8_t {
+    Unchanged, // Older than what is known, or the same.
+    Heard, // Only the time of the latest heartbeat moved.
+    Changed, // The record means something new for routing.
+};
+
+struct RegistryEntry
+{
+    RegisteredTarget target;
+    std::uint64_t changeGeneration = 0; // Of the latest change that matters for routing.
+    std::uint64_t heardGeneration = 0; // Of the latest heartbeat; at least changeGeneration.
+    Endpoint reporter; // The control instance that sent the record here; none if the target itself did.
+
+    friend bool operator==(RegistryEntry const &, RegistryEntry const &) = default;
+};
+
+class TargetRegistry
+{
+public:
+    explicit TargetRegistry(RegistrySettings registrySettings) : settings(registrySettings) { }
+
+    // Takes over a heartbeat or a record of another instance if it is later than what is known.
+    MergeOutcome merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter = {});
+
+    // The target has ended for certain; nothing if its start is later than the given one.
+    MergeOutcome markGone(TargetNumber number, std::int64_t bornMilliseconds, Timestamp now);
+
+    // Targets that come back with their failure domain may be cold until a heartbeat after `now` says
+    // otherwise.
+    void treatAsCold(std::string const &failureDomain, Timestamp until);
+
+    // Drops records that nobody needs any more.
+    void forgetOld(Timestamp now);
+
+    std::optional<RegisteredTarget> find(TargetNumber number) const;
+    std::vector<RegisteredTarget> all() const;
+
+    // Whether the heartbeats have stopped, so that new flows should go elsewhere.
+    bool isOverdue(RegisteredTarget const &target, Timestamp now) const;
+
+    // Grows with each change or heartbeat.
+    std::uint64_t generation() const { return this->lastGeneration.load(std::memory_order_acquire); }
+    // Grows only with changes that matter for routing.
+    std::uint64_t changeGeneration() const { return this->lastChange.load(std::memory_order_acquire); }
+
+    // Entries with a change (or a heartbeat) after the generation.
+    std::vector<RegistryEntry> changedAfter(std::uint64_t generation) const;
+    std::vector<RegistryEntry> heardAfter(std::uint64_t generation) const;
+
+private:
+    std::uint64_t nextGeneration() { return this->lastGeneration.fetch_add(1) + 1; }
+    MergeOutcome store(RegisteredTarget const &report, Timestamp now, Endpoint reporter);
+    void endPredecessors(RegisteredTarget const &report, Timestamp now);
+    bool hasSuccessor(RegisteredTarget const &report) const;
+
+    RegistrySettings settings;
+    ShardedTable<TargetNumber, RegistryEntry, 16> entries;
+    std::atomic<std::uint64_t> lastGeneration{0};
+    std::atomic<std::uint64_t> lastChange{0}; // At most lastGeneration.
+};
+
+} // namespace almondwing
--- a/Libraries/LibReplication/ReplicationCore.cpp
+++ b/Libraries/LibReplication/ReplicationCore.cpp
@@ -142,6 +142,19 @@
     return std::ranges::binary_search(this->settings.controlInstances, instance);
 }
 
+bool ReplicationCore::mayJoin(std::string const &instance) const
+{
+    return this->settings.admission == VoterAdmission::AnyInstance || this->isControlInstance(instance);
+}
+
+void ReplicationCore::resign(Timestamp now)
+{
+    if (this->role != ReplicaRole::Leader)
+        return;
+    this->becomeFollower("this instance stops");
+    this->resetElectionDeadline(now);
+}
+
 void ReplicationCore::send(Replica const &to, ReplicaMessage message)
 {
     ++this->counted.messagesSent;
--- a/Libraries/LibReplication/ReplicationCore.h
+++ b/Libraries/LibReplication/ReplicationCore.h
@@ -87,6 +87,13 @@
     absl::StatusOr<ReadToken> confirmLeadership(Timestamp now);
 
     ReplicationStatus status() const;
+
+    // Whether this replica leads with a majority, or heard such a leader within the shortest election
+    // timeout.
+    bool isInContact(Timestamp now) const { return this->hearsLeader(now); }
+
+    // Ends the leadership before a planned stop, so that the others need not wait for its timeout.
+    void resign(Timestamp now);
     ReplicationCounters const &counters() const { return this->counted; }
 
 private:
@@ -101,6 +108,7 @@
     bool isEmpty() const { return this->hardState.history.isNone(); }
     bool isVoter(ReplicaId id) const;
     bool isControlInstance(std::string const &instance) const;
+    bool mayJoin(std::string const &instance) const;
     std::size_t majority() const { return this->log.voters().size() / 2 + 1; }
     void send(Replica const &to, ReplicaMessage message);
     void reportOnce(ReplicaId id, Event event, std::string const &text);
@@ -157,6 +165,10 @@
 
     // Bootstrap and joining.
     bool isCoordinator() const;
+    std::set<std::string> instancesToAsk() const;
+    std::optional<Replica> silentVoter(Timestamp now) const;
+    std::optional<Replica> voterToReplace(Replica const &learner, Timestamp now) const;
+    bool removeVoter(Replica const &voter, Timestamp now);
     void tickJoining(Timestamp now);
     void queryBootstrap();
     void bootstrapIfAllEmpty();
--- a/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
+++ b/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t largestVoterCount = 7;
+constexpr std::size_t smallestVoterCount = 3; // Silent voters are kept below that; three bear one loss.
 constexpr LogIndex bootstrapIndex = 1;
 constexpr Term bootstrapTerm = 1;
 constexpr int joinIntervalsToForget = 5; // A replaced disk asks to join once an interval.
@@ -43,13 +44,28 @@
     this->nextJoin = now + this->settings.joinInterval;
     if (this->isEmpty() && this->isCoordinator())
         this->queryBootstrap();
-    for (std::string const &instance : this->settings.controlInstances) {
+    for (std::string const &instance : this->instancesToAsk()) {
         if (instance != this->self.instance)
             this->send(Replica{.id = {}, .instance = instance},
                        JoinRequest{.lastIndex = this->log.lastIndex()});
     }
 }
 
+// With open admission the instances of the settings may all be gone, so the voters and known peers are asked
+// too.
+std::set<std::string> ReplicationCore::instancesToAsk() const
+{
+    std::set<std::string> instances(this->settings.controlInstances.begin(),
+                                    this->settings.controlInstances.end());
+    if (this->settings.admission == VoterAdmission::ListedInstances)
+        return instances;
+    for (Replica const &voter : this->log.voters())
+        instances.insert(voter.instance);
+    for (std::string &instance : this->hooks.knownInstances())
+        instances.insert(std::move(instance));
+    return instances;
+}
+
 void ReplicationCore::queryBootstrap()
 {
     this->bootstrapAttempt = this->hooks.random();
@@ -163,7 +179,7 @@
 
 void ReplicationCore::handle(ReplicaEnvelope const &envelope, JoinRequest const &, Timestamp now)
 {
-    if (this->isEmpty() || !this->isControlInstance(envelope.from.instance))
+    if (this->isEmpty() || !this->mayJoin(envelope.from.instance))
         return;
     if (!this->isVoter(envelope.from.id)) {
         this->noteReplacedDisk(envelope.from, now);
@@ -228,14 +244,45 @@
         if (!this->isVoter(id) && isCaughtUp && this->replaceVoter(Replica(progress.replica), now))
             return;
     }
+    // Fewer voters that all answer bear more losses than more voters of which some don't.
+    if (this->log.voters().size() <= smallestVoterCount)
+        return;
+    if (std::optional<Replica> const silent = this->silentVoter(now))
+        this->removeVoter(*silent, now);
+}
+
+// With open admission, a voter that has not answered for long. Nothing for a new leader, which has asked none
+// yet.
+std::optional<Replica> ReplicationCore::silentVoter(Timestamp now) const
+{
+    if (this->settings.admission == VoterAdmission::ListedInstances)
+        return std::nullopt;
+    for (Replica const &voter : this->log.voters()) {
+        auto const progress = this->followers.find(voter.id);
+        if (voter.id != this->self.id && progress != this->followers.end()
+            && now - progress->second.lastReply > this->settings.silenceBeforeRemoval)
+            return voter;
+    }
+    return std::nullopt;
+}
+
+// The voter whose place a learner takes: the one with its name, or a silent one, because the learner most
+// likely replaces its machine.
+std::optional<Replica> ReplicationCore::voterToReplace(Replica const &learner, Timestamp now) const
+{
+    auto const &voters = this->log.voters();
+    auto const sameName = std::ranges::find(voters, learner.instance, &Replica::instance);
+    if (sameName != voters.end())
+        return *sameName;
+    return this->silentVoter(now);
 }
 
 // Returns whether an entry was proposed.
 bool ReplicationCore::replaceVoter(Replica const &learner, Timestamp now)
 {
     std::vector<Replica> voters = this->log.voters();
-    auto const old = std::ranges::find(voters, learner.instance, &Replica::instance);
-    if (old == voters.end()) {
+    std::optional<Replica> const old = this->voterToReplace(learner, now);
+    if (!old) {
         if (voters.size() >= largestVoterCount)
             return false;
         voters.push_back(learner);
@@ -252,9 +299,14 @@
                         learner.instance, learner.id.value));
         return false;
     }
-    this->followers.erase(old->id);
-    this->appendAsLeader(LogEntry{.kind = EntryKind::Membership, .voters = withoutReplica(voters, old->id)},
-                         now);
+    return this->removeVoter(*old, now);
+}
+
+bool ReplicationCore::removeVoter(Replica const &voter, Timestamp now)
+{
+    this->followers.erase(voter.id);
+    this->appendAsLeader(
+        LogEntry{.kind = EntryKind::Membership, .voters = withoutReplica(this->log.voters(), voter.id)}, now);
     return true;
 }
 
--- a/Libraries/LibReplication/ReplicationHooks.h
+++ b/Libraries/LibReplication/ReplicationHooks.h
@@ -18,9 +18,17 @@
 
 namespace almondwing {
 
+// Which instances the log may admit as voters.
+enum class VoterAdmission : std::uint8_t {
+    ListedInstances, // Only those of the settings.
+    AnyInstance, // Every instance that asks; the settings name only those that begin the history.
+};
+
 struct ReplicationSettings
 {
-    std::vector<std::string> controlInstances; // Names of all instances with a data folder, 3 to 7.
+    // Names of all instances with a data folder, 3 to 7; with open admission, those that begin the history.
+    std::vector<std::string> controlInstances;
+    VoterAdmission admission = VoterAdmission::ListedInstances;
 
     // A heartbeat is about 300 bytes of JSON. At one a second the leader of 7 replicas sends 1.8 KB/s of
     // bodies, HTTP headers not counted; an instance may spend 2 KB/s on control.
@@ -30,6 +38,9 @@
     Duration shortestElectionTimeout = 3s;
     Duration longestElectionTimeout = 6s;
     Duration joinInterval = 1s;
+    // With open admission, a voter that was silent for so long is removed, as long as three others remain or
+    // a learner takes its place. It may ask to join again.
+    Duration silenceBeforeRemoval = 3s;
 
     std::size_t largestPayload = 256UL * 1024;
     std::size_t largestBatchBytes = 256UL * 1024;
@@ -59,6 +70,8 @@
     std::function<std::string()> takeSnapshot; // The state after the last applied command.
     std::function<void(LogIndex, ProposalOutcome)> resolveProposal; // Called after apply.
     std::function<void(ReadToken, absl::Status const &)> resolveRead;
+    // With open admission: further instances to ask for the log, beside those of the settings.
+    std::function<std::vector<std::string>()> knownInstances;
     // False while another part of the instance has evidence of an earlier history, such as a peer that
     // reports a configuration version.
     std::function<bool()> mayBootstrap;
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -2,58 +2,17 @@
 
 #include <LibSettings/SettingsReader.h>
 
-#include <LibManifest/Name.h>
 #include <LibSettings/OperatorToken.h>
 #include <LibSettings/SettingsCheck.h>
+#include <LibSettings/SettingsValues.h>
 #include <LibSettings/TomlReader.h>
 
-#include <fmt/format.h>
-
-#include <fstream>
-#include <iterator>
-
 namespace almondwing {
 
 namespace {
 
-constexpr std::string_view allowedEndpoints = "a.b.c.d:port with a port from 1 to 65535, and not 0.0.0.0";
-constexpr std::string_view allowedFolders = "an absolute path";
 constexpr std::string_view allowedLevels = R"("information", "warning" or "error")";
 
-// A settings file with all peers takes about 150 bytes for each of them.
-constexpr std::size_t maximumFileSize = std::size_t{4} * 1024 * 1024;
-
-std::string readName(TomlValue const &table, std::string_view key)
-{
-    TomlValue const value = table.member(key, allowedNames);
-    std::string name = value.text(allowedNames);
-    if (value.isText() && !isValidName(name))
-        value.report(allowedNames);
-    return name;
-}
-
-Endpoint readEndpoint(TomlValue const &table, std::string_view key)
-{
-    TomlValue const value = table.member(key, allowedEndpoints);
-    std::string const text = value.text(allowedEndpoints);
-    absl::StatusOr<Endpoint> const endpoint = Endpoint::parse(text);
-    // The instance tells its endpoints to others, so "any address" is of no use.
-    if (endpoint.ok() && endpoint->address != 0)
-        return *endpoint;
-    if (value.isText())
-        value.report(allowedEndpoints);
-    return {};
-}
-
-std::string readFolder(TomlValue const &value)
-{
-    std::string folder = value.text(allowedFolders);
-    // A relative path would depend on where the daemon was started; a zero byte would cut the path short.
-    if (value.isText() && (!folder.starts_with('/') || folder.find('\0') != std::string::npos))
-        value.report(allowedFolders);
-    return folder;
-}
-
 ListenSettings readListen(TomlValue const &table)
 {
     table.allowKeys({"entry", "target", "peer", "http"});
@@ -124,11 +83,6 @@
     return settings;
 }
 
-SettingsErrors unreadableFile(std::string const &path, std::string allowed)
-{
-    return {{.file = path, .line = 0, .key = "", .value = "(unreadable)", .allowed = std::move(allowed)}};
-}
-
 } // namespace
 
 SettingsResult parseSettings(std::string const &text, std::string const &file)
@@ -143,17 +97,10 @@
 
 SettingsResult loadSettings(std::string const &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        return unreadableFile(path, "a file that the daemon may read");
-    std::string text(maximumFileSize + 1, '\0');
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
-    if (file.bad() || file.gcount() == 0)
-        return unreadableFile(path, "a file that is neither a folder nor empty");
-    if (static_cast<std::size_t>(file.gcount()) > maximumFileSize)
-        return unreadableFile(path, fmt::format("at most {} bytes", maximumFileSize));
-    text.resize(static_cast<std::size_t>(file.gcount()));
-    return parseSettings(text, path);
+    auto const text = readSettingsFile(path);
+    if (auto const *const errors = std::get_if<SettingsErrors>(&text))
+        return *errors;
+    return parseSettings(std::get<std::string>(text), path);
 }
 
 } // namespace almondwing
--- /dev/null
+++ b/Libraries/LibSettings/SettingsValues.h
@@ -0,0 +1,26 @@
+// Values that several settings formats share: names, endpoints, folders, and reading the file itself.
+
+#pragma once
+
+#include <LibCore/Endpoint.h>
+#include <LibSettings/SettingsError.h>
+#include <LibSettings/TomlReader.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace almondwing {
+
+constexpr std::string_view allowedEndpoints = "a.b.c.d:port with a port from 1 to 65535, and not 0.0.0.0";
+constexpr std::string_view allowedFolders = "an absolute path";
+
+// Each reports a value that is absent or not allowed, and then returns an empty one.
+std::string readName(TomlValue const &table, std::string_view key);
+Endpoint readEndpoint(TomlValue const &table, std::string_view key);
+Endpoint readEndpointValue(TomlValue const &value);
+std::string readFolder(TomlValue const &value);
+
+std::variant<std::string, SettingsErrors> readSettingsFile(std::string const &path);
+
+} // namespace almondwing
--- a/Libraries/LibSettings/TomlReader.cpp
+++ b/Libraries/LibSettings/TomlReader.cpp
@@ -125,6 +125,17 @@
     return minimum;
 }
 
+double TomlValue::real(double minimum, double maximum) const
+{
+    if (!this->isPresent())
+        return minimum;
+    auto const number = nodeOf(this->node).value<double>();
+    if (number && *number >= minimum && *number <= maximum)
+        return *number;
+    this->report(fmt::format("a number from {} to {}", minimum, maximum));
+    return minimum;
+}
+
 bool TomlValue::truth() const
 {
     if (!this->isPresent())
--- /dev/null
+++ b/Libraries/LibTokenRouting/FlowPlacement.cpp
@@ -0,0 +1,171 @@
+// Implements the choice of a target for a new flow.
+
+#include <LibTokenRouting/FlowPlacement.h>
+
+#include <LibCore/Verify.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+struct Candidate
+{
+    ViewTarget const *target = nullptr; // Into the view.
+    TargetSigns signs;
+    double load = 0; // Flows a slot.
+};
+
+using Candidates = std::vector<Candidate>;
+
+bool mayTakeFlows(ServingView const &view, ViewTarget const &target)
+{
+    return target.target.state == RegisteredState::Ready
+        && !view.domainsTakenOut.contains(target.target.failureDomain);
+}
+
+Candidates candidatesOf(TokenBoard const &board, ServingView const &view, std::string const &service)
+{
+    Candidates candidates;
+    auto const tokens = view.tokensOfService.find(service);
+    if (tokens == view.tokensOfService.end())
+        return candidates;
+    for (TargetToken const token : tokens->second) {
+        ViewTarget const *const target = view.targetOf(token);
+        if (!mayTakeFlows(view, *target))
+            continue;
+        TargetSigns const signs = board.signsOf(token);
+        double const flows = signs.activeFlows + signs.remoteFlows;
+        candidates.push_back(Candidate{
+            .target = target, .signs = signs, .load = (flows + 1) / std::max(1U, target->target.slots)});
+    }
+    return candidates;
+}
+
+template<typename Keep>
+Candidates filtered(Candidates const &candidates, Keep const &keep)
+{
+    Candidates kept;
+    std::ranges::copy_if(candidates, std::back_inserter(kept), keep);
+    return kept;
+}
+
+// When most targets look bad, the view is doubted rather than the targets.
+Candidates withoutSuspects(Candidates const &candidates, Timestamp now)
+{
+    Candidates good = filtered(candidates, [now](Candidate const &candidate) {
+        return !candidate.target->isOverdue && !candidate.signs.isSuspectAt(now);
+    });
+    return good.size() * 2 >= candidates.size() ? good : candidates;
+}
+
+Candidate const *leastLoaded(Candidates const &candidates, RandomSource const &random)
+{
+    Candidate const *best = nullptr;
+    std::uint64_t ties = 0;
+    for (Candidate const &candidate : candidates) {
+        if (best == nullptr || candidate.load < best->load) {
+            best = &candidate;
+            ties = 1;
+        } else if (candidate.load == best->load && random() % ++ties == 0) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+bool isInDomain(Candidate const &candidate, std::string const &failureDomain)
+{
+    return candidate.target->target.failureDomain == failureDomain;
+}
+
+std::optional<TargetToken> placeOnWarm(Candidates const &warm, PlacementSettings const &settings,
+                                       RandomSource const &random)
+{
+    Candidates const own = filtered(
+        warm, [&](Candidate const &candidate) { return isInDomain(candidate, settings.failureDomain); });
+    Candidate const *const nearest = leastLoaded(own, random);
+    if (nearest != nullptr && nearest->load < settings.spillThreshold)
+        return nearest->target->token;
+    Candidate const *const any = leastLoaded(warm, random);
+    if (nearest != nullptr && nearest->load < any->load * settings.domainPreference)
+        return nearest->target->token;
+    return any->target->token;
+}
+
+// Each instance takes its part of what a cold target may get, and only inside its own failure domain if it
+// can.
+std::optional<TargetToken> placeOnCold(Candidates const &cold, PlacementSettings const &settings,
+                                       RandomSource const &random, Timestamp now)
+{
+    auto const interval = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(settings.sharers / std::max(settings.coldFlowsPerSecond, 0.001)));
+    Candidates const due = filtered(cold, [&](Candidate const &candidate) {
+        return now - candidate.signs.coldFlowAt >= interval || candidate.signs.coldFlowAt == Timestamp{};
+    });
+    Candidates const own = filtered(
+        due, [&](Candidate const &candidate) { return isInDomain(candidate, settings.failureDomain); });
+    Candidate const *const best = leastLoaded(own.empty() ? due : own, random);
+    return best == nullptr ? std::nullopt : std::optional(best->target->token);
+}
+
+} // namespace
+
+std::optional<TargetToken> placeFlow(TokenBoard const &board, ServingView const &view,
+                                     std::string const &service, TargetToken excluded,
+                                     PlacementSettings const &settings, RandomSource const &random,
+                                     Timestamp now)
+{
+    Candidates candidates = withoutSuspects(candidatesOf(board, view, service), now);
+    Candidates const others =
+        filtered(candidates, [&](Candidate const &candidate) { return candidate.target->token != excluded; });
+    if (!others.empty())
+        candidates = others;
+    if (candidates.empty())
+        return std::nullopt;
+    Candidates const warm = filtered(
+        candidates, [now](Candidate const &candidate) { return !candidate.target->target.isColdAt(now); });
+    if (!warm.empty())
+        return placeOnWarm(warm, settings, random);
+    return placeOnCold(candidates, settings, random, now);
+}
+
+std::string const &chooseService(FlowRoute const &route, ConnectionKey const &flow)
+{
+    VERIFY(!route.services.empty());
+    std::uint64_t total = 0;
+    for (WeightedService const &service : route.services)
+        total += service.weight;
+    std::uint64_t point = total == 0 ? 0 : mixBits(std::hash<ConnectionKey>{}(flow)) % total;
+    for (WeightedService const &service : route.services) {
+        if (point < service.weight)
+            return service.service;
+        point -= service.weight;
+    }
+    return route.services.front().service;
+}
+
+void notePlacement(TokenBoard &board, FlowPacket const &packet, ViewTarget const &chosen, Timestamp now)
+{
+    if (board.flows.size() < largestFlowNotes || board.flows.contains(packet.flow))
+        board.flows.update(packet.flow, [&](std::optional<FlowNote> const &) -> std::optional<FlowNote> {
+            return FlowNote{.target = chosen.token,
+                            .openedAt = now,
+                            .lastSeen = now,
+                            .sequence = packet.sequence,
+                            .sequenceSince = now};
+        });
+    board.signs.update(chosen.token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        ++next.activeFlows;
+        if (chosen.target.isColdAt(now))
+            next.coldFlowAt = now;
+        return next;
+    });
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibTokenRouting/ServingView.cpp
@@ -0,0 +1,66 @@
+// Implements the snapshot that an instance routes by.
+
+#include <LibTokenRouting/ServingView.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondwing {
+
+std::string_view nameOf(ResetReason reason)
+{
+    switch (reason) {
+    case ResetReason::NoRoute:
+        return "no-route";
+    case ResetReason::NoTarget:
+        return "no-target";
+    case ResetReason::TargetEnded:
+        return "target-ended";
+    }
+    return "";
+}
+
+std::string_view nameOf(DropReason reason)
+{
+    switch (reason) {
+    case DropReason::Foreign:
+        return "foreign";
+    case DropReason::UnknownFlow:
+        return "unknown-flow";
+    }
+    return "";
+}
+
+FlowRoute const *ServingView::routeTo(Endpoint endpoint) const
+{
+    auto const entry = this->routes.find(endpoint);
+    return entry == this->routes.end() ? nullptr : &entry->second;
+}
+
+ViewTarget const *ServingView::targetOf(TargetToken token) const
+{
+    auto const entry = this->targets.find(token);
+    return entry == this->targets.end() ? nullptr : &entry->second;
+}
+
+ServingView makeServingView(FlowConfiguration const &configuration, std::vector<ViewTarget> targets,
+                            std::set<std::string> domainsTakenOut)
+{
+    ServingView view{.configurationVersion = configuration.version,
+                     .domainsTakenOut = std::move(domainsTakenOut),
+                     .idleTimeout = configuration.idleTimeout};
+    for (FlowRoute const &route : configuration.routes)
+        view.routes.emplace(route.endpoint, route);
+    // A later target whose token is taken gets no flows.
+    std::ranges::sort(targets, {}, [](ViewTarget const &target) {
+        return std::pair(target.target.order.bornMilliseconds, target.target.number);
+    });
+    for (ViewTarget &target : targets) {
+        target.token = tokenOf(target.target.number);
+        if (view.targets.emplace(target.token, target).second)
+            view.tokensOfService[target.target.service].push_back(target.token);
+    }
+    return view;
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibTokenRouting/TargetSigns.cpp
@@ -0,0 +1,89 @@
+// Implements judging targets by the packets that pass.
+
+#include <LibTokenRouting/TargetSigns.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+// Sequence numbers wrap around (RFC 1982 serial number arithmetic).
+bool isLater(std::uint32_t value, std::uint32_t reference)
+{
+    return static_cast<std::int32_t>(value - reference) > 0;
+}
+
+void noteAlive(TokenBoard &board, TargetToken token, Timestamp now)
+{
+    board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        next.aliveAt = std::max(next.aliveAt, now);
+        next.suspectUntil = Timestamp{};
+        return next;
+    });
+}
+
+} // namespace
+
+SignVerdict noteDataPacket(TokenBoard &board, FlowPacket const &packet, SignSettings const &settings,
+                           Timestamp now)
+{
+    bool isAlive = false;
+    bool isRepeat = false;
+    Timestamp repeatedSince = now;
+    auto const known = board.flows.read(packet.flow);
+    if (!known && board.flows.size() >= largestFlowNotes)
+        return SignVerdict::None;
+    board.flows.update(packet.flow, [&](std::optional<FlowNote> const &noted) -> std::optional<FlowNote> {
+        isAlive = false;
+        isRepeat = false;
+        FlowNote next = noted.value_or(FlowNote{.target = packet.token,
+                                                .openedAt = now,
+                                                .sequence = packet.sequence - 1,
+                                                .acknowledgement = packet.acknowledgement,
+                                                .isEstablished = true});
+        // The first packet after the opening one acknowledges that of the target.
+        isAlive = !next.isEstablished || isLater(packet.acknowledgement, next.acknowledgement);
+        if (isAlive || !noted)
+            next.acknowledgement = packet.acknowledgement;
+        if (packet.length > 0 && isLater(packet.sequence, next.sequence)) {
+            next.sequence = packet.sequence;
+            next.sequenceSince = now;
+        } else if (packet.length > 0 && packet.sequence == next.sequence && !isAlive) {
+            isRepeat = now - next.sequenceSince >= settings.shortestRepeat;
+            repeatedSince = next.sequenceSince;
+        }
+        next.target = packet.token;
+        next.isEstablished = true;
+        next.lastSeen = now;
+        return next;
+    });
+    if (isAlive) {
+        noteAlive(board, packet.token, now);
+        return SignVerdict::None;
+    }
+    TargetSigns const signs = board.signsOf(packet.token);
+    bool const wasHeardBefore = signs.aliveAt + settings.recentLife >= repeatedSince;
+    return isRepeat && wasHeardBefore && signs.aliveAt < repeatedSince ? SignVerdict::Suspect
+                                                                       : SignVerdict::None;
+}
+
+SignVerdict judgeRepeatedOpen(TokenBoard const &board, FlowNote const &note, SignSettings const &settings,
+                              Timestamp now)
+{
+    if (note.isEstablished || now - note.openedAt < settings.shortestRepeat)
+        return SignVerdict::None;
+    return board.signsOf(note.target).aliveAt < note.openedAt ? SignVerdict::Suspect : SignVerdict::None;
+}
+
+void suspect(TokenBoard &board, TargetToken token, Timestamp until)
+{
+    board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        next.suspectUntil = std::max(next.suspectUntil, until);
+        return next;
+    });
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibTokenRouting/TokenBoard.h
@@ -0,0 +1,72 @@
+// The blackboard of token routing: the view, the recent flows of this instance, and what it saw of each
+// target.
+
+#pragma once
+
+#include <LibBlackboard/Cell.h>
+#include <LibBlackboard/ShardedTable.h>
+#include <LibTokenRouting/ServingView.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace almondwing {
+
+// A flow that this instance has seen lately. A hint: routing needs only the token, and flows of other
+// instances have no note here.
+struct FlowNote
+{
+    TargetToken target;
+    Timestamp openedAt; // Its first packet here.
+    Timestamp lastSeen;
+    std::uint32_t sequence = 0; // Of the latest packet with data.
+    Timestamp sequenceSince; // When that sequence was seen first.
+    std::uint32_t acknowledgement = 0; // Highest seen.
+    bool isEstablished = false; // A packet after the opening one was seen.
+
+    friend bool operator==(FlowNote const &, FlowNote const &) = default;
+};
+
+// What packets through this instance tell of a target.
+struct TargetSigns
+{
+    Timestamp aliveAt; // A caller got something from it that was new.
+    Timestamp suspectUntil; // No new flows before that time.
+    std::uint32_t activeFlows = 0; // Flows with recent packets, by the last sweep, and those opened since.
+    std::uint32_t remoteFlows = 0; // The same at the other instances, by their latest reports.
+    Timestamp coldFlowAt; // The latest flow that it got while it was cold.
+    Timestamp checkedAt; // The latest direct check.
+
+    bool isSuspectAt(Timestamp now) const { return now < this->suspectUntil; }
+
+    friend bool operator==(TargetSigns const &, TargetSigns const &) = default;
+};
+
+// More notes are not kept, 64 bytes each.
+constexpr std::size_t largestFlowNotes = 16384;
+
+struct TokenBoard
+{
+    Cell<ServingView> view;
+    ShardedTable<ConnectionKey, FlowNote, 16> flows;
+    ShardedTable<TargetToken, TargetSigns, 16> signs;
+
+    TargetSigns signsOf(TargetToken token) const;
+};
+
+struct TargetActivity
+{
+    TargetToken token;
+    std::uint32_t flows = 0;
+
+    friend bool operator==(TargetActivity const &, TargetActivity const &) = default;
+};
+
+// Counts the flows with recent packets, and forgets those that have ended or are idle. Returns the count of
+// each target that has any.
+std::vector<TargetActivity> sweepFlows(TokenBoard &board, Timestamp now);
+
+// Takes over how many flows the other instances have at each target; targets that are not named have none.
+void noteRemoteActivity(TokenBoard &board, std::vector<TargetActivity> const &activity);
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -0,0 +1,112 @@
+// Implements the decision for each packet.
+
+#include <LibTokenRouting/TokenRouter.h>
+
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+// A suspected target is checked directly at most this often; each check costs the target work.
+constexpr Duration checkInterval = 500ms;
+
+PacketDecision forwardTo(ViewTarget const &target)
+{
+    return ForwardPacket{
+        .target = target.target.number, .endpoint = target.target.endpoint, .token = target.token};
+}
+
+} // namespace
+
+TokenRouter::TokenRouter(TokenBoard &tokenBoard, PlacementSettings placementSettings,
+                         TokenRouterHooks routerHooks)
+    : board(tokenBoard), placement(std::move(placementSettings)), hooks(std::move(routerHooks))
+{
+}
+
+void TokenRouter::setSharers(std::uint32_t sharers)
+{
+    if (this->placement.read()->sharers == sharers)
+        return;
+    this->placement.update([sharers](PlacementSettings settings) {
+        settings.sharers = sharers;
+        return settings;
+    });
+}
+
+PacketDecision TokenRouter::decide(FlowPacket const &packet, Timestamp now)
+{
+    if (packet.kind == PacketKind::Foreign)
+        return DropPacket{.reason = DropReason::Foreign};
+    auto const view = this->board.view.read();
+    if (!view->hasConfiguration())
+        return HoldPacket{};
+    if (view->routeTo(packet.flow.service) == nullptr)
+        return packet.kind == PacketKind::Close ? PacketDecision(DropPacket{DropReason::UnknownFlow})
+                                                : PacketDecision(ResetFlow{ResetReason::NoRoute});
+    return packet.kind == PacketKind::Open ? this->decideOpen(*view, packet, now)
+                                           : this->decideLater(*view, packet, now);
+}
+
+PacketDecision TokenRouter::decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now)
+{
+    TargetToken excluded;
+    if (auto const known = this->board.flows.read(packet.flow)) {
+        // Two targets that answer the same flow would both be written to, so a repeat changes its target only
+        // if the first one shows no life.
+        ViewTarget const *const first = view.targetOf(known->value.target);
+        bool const isEnded = first == nullptr || first->target.state == RegisteredState::Gone;
+        bool const isSilent =
+            judgeRepeatedOpen(this->board, known->value, this->signSettings, now) == SignVerdict::Suspect;
+        if (!isEnded && !isSilent)
+            return forwardTo(*first);
+        if (isSilent)
+            this->raiseSuspicion(view, known->value.target, now);
+        excluded = known->value.target;
+    }
+    std::string const &service = chooseService(*view.routeTo(packet.flow.service), packet.flow);
+    auto const token =
+        placeFlow(this->board, view, service, excluded, *this->placement.read(), this->hooks.random, now);
+    if (!token)
+        return view.isRegistryComplete ? PacketDecision(ResetFlow{ResetReason::NoTarget})
+                                       : PacketDecision(HoldPacket{});
+    ViewTarget const *const chosen = view.targetOf(*token);
+    notePlacement(this->board, packet, *chosen, now);
+    return forwardTo(*chosen);
+}
+
+PacketDecision TokenRouter::decideLater(ServingView const &view, FlowPacket const &packet, Timestamp now)
+{
+    if (packet.token.isNone())
+        return DropPacket{.reason = DropReason::UnknownFlow};
+    ViewTarget const *const target = view.targetOf(packet.token);
+    if (target == nullptr)
+        return HoldPacket{};
+    if (target->target.state == RegisteredState::Gone) {
+        if (packet.kind == PacketKind::Close)
+            return DropPacket{.reason = DropReason::UnknownFlow};
+        return ResetFlow{ResetReason::TargetEnded};
+    }
+    if (packet.kind == PacketKind::Close)
+        this->board.flows.remove(packet.flow);
+    else if (noteDataPacket(this->board, packet, this->signSettings, now) == SignVerdict::Suspect)
+        this->raiseSuspicion(view, packet.token, now);
+    return forwardTo(*target);
+}
+
+void TokenRouter::raiseSuspicion(ServingView const &view, TargetToken token, Timestamp now)
+{
+    suspect(this->board, token, now + this->signSettings.suspicion);
+    ViewTarget const *const target = view.targetOf(token);
+    if (target == nullptr || now - this->board.signsOf(token).checkedAt < checkInterval)
+        return;
+    this->board.signs.update(token, [now](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        next.checkedAt = now;
+        return next;
+    });
+    this->hooks.checkTarget(*target);
+}
+
+} // namespace almondwing
--- /dev/null
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -0,0 +1,38 @@
+// Decides what happens to each packet of a caller. Only opening packets need a choice; any instance sends a
+// later packet by its token, so no state of a flow is shared.
+
+#pragma once
+
+#include <LibTokenRouting/FlowPlacement.h>
+#include <LibTokenRouting/TargetSigns.h>
+
+namespace almondwing {
+
+struct TokenRouterHooks
+{
+    RandomSource random;
+    // A target does not answer; it should be checked directly.
+    std::function<void(ViewTarget const &)> checkTarget;
+};
+
+class TokenRouter
+{
+public:
+    TokenRouter(TokenBoard &tokenBoard, PlacementSettings placementSettings, TokenRouterHooks routerHooks);
+
+    PacketDecision decide(FlowPacket const &packet, Timestamp now);
+
+    void setSharers(std::uint32_t sharers);
+
+private:
+    PacketDecision decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now);
+    PacketDecision decideLater(ServingView const &view, FlowPacket const &packet, Timestamp now);
+    void raiseSuspicion(ServingView const &view, TargetToken token, Timestamp now);
+
+    TokenBoard &board;
+    SignSettings signSettings;
+    Cell<PlacementSettings> placement;
+    TokenRouterHooks hooks;
+};
+
+} // namespace almondwing
