Routing: Take a refused connection as short-lived, local evidence only

Cause: a link that is cut may refuse connections, which looks like a target that has ended.

Ruled out: resets without an own check; all reset flows had the reason target-ended after TargetGone 'refused'.

Change: the entry that found the refusal resets flows for 500 ms and places no new ones, then checks again; nothing is told to others. Only a report of the target itself or a successor at its address ends it for all.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -149,6 +149,10 @@
     EventDescription{Event::TargetSuspected, Severity::Warning, "TargetSuspected",
                      "Callers of a target got no answer; it gets no new flows for a while and is checked.",
                      "Look at the target if it repeats."},
+    EventDescription{
+        Event::TargetRefuses, Severity::Warning, "TargetRefuses",
+        "Nothing listens at a target that did not answer; flows of it are reset for a short time.",
+        "Look at the target, or at the link to it, if it repeats."},
     EventDescription{Event::FlowPlaced, Severity::Information, "FlowPlaced",
                      "The opening packet of a flow was sent to a target.", "None."},
     EventDescription{Event::FlowReset, Severity::Information, "FlowReset",
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -62,6 +62,7 @@
     TargetDraining = 1407,
     AnnouncementRejected = 1408,
     TargetSuspected = 1409,
+    TargetRefuses = 1410,
     FlowPlaced = 1500,
     FlowReset = 1501,
     PacketDropped = 1502,
--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -169,13 +169,13 @@
                  fmt::format("target={:x} endpoint={}", target.target.number.value,
                              target.target.endpoint.toString()));
     checkListener(this->runtime, target.target.endpoint, listenerTimeout,
-                  [this, ended = target.target](ListenerState state) {
+                  [this, checked = target](ListenerState state) {
                       if (state != ListenerState::Refuses)
                           return;
-                      this->report(Event::TargetGone,
-                                   fmt::format("target={:x} endpoint={} refused a connection",
-                                               ended.number.value, ended.endpoint.toString()));
-                      this->follower.reportEnded(ended);
+                      this->report(Event::TargetRefuses,
+                                   fmt::format("target={:x} endpoint={}", checked.target.number.value,
+                                               checked.target.endpoint.toString()));
+                      this->router.noteRefusal(checked.token, IoRuntime::now());
                   });
 }
 
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -166,29 +166,21 @@
 
 std::string formatViewRequest(ViewRequest const &request)
 {
-    Json ended = Json::array();
-    for (EndedTarget const &target : request.ended)
-        ended.push_back(Json::array({target.number.value, target.bornMilliseconds}));
     return Json{{"instance", request.instance}, {"failure_domain", request.failureDomain},
                 {"boot", request.boot},         {"registry", request.registryGeneration},
-                {"revision", request.revision}, {"activity", toJson(request.activity)},
-                {"ended", std::move(ended)}}
+                {"revision", request.revision}, {"activity", toJson(request.activity)}}
         .dump();
 }
 
 absl::StatusOr<ViewRequest> parseViewRequest(std::string_view text)
 {
     return decoded(text, [](Json const &json) {
-        ViewRequest request{.instance = json.at("instance").get<std::string>(),
-                            .failureDomain = json.at("failure_domain").get<std::string>(),
-                            .boot = json.at("boot").get<std::uint64_t>(),
-                            .registryGeneration = json.at("registry").get<std::uint64_t>(),
-                            .revision = json.at("revision").get<std::uint64_t>(),
-                            .activity = activityOf(json.at("activity"))};
-        for (Json const &target : json.at("ended"))
-            request.ended.push_back(EndedTarget{.number = TargetNumber{target.at(0).get<std::uint64_t>()},
-                                                .bornMilliseconds = target.at(1).get<std::int64_t>()});
-        return request;
+        return ViewRequest{.instance = json.at("instance").get<std::string>(),
+                           .failureDomain = json.at("failure_domain").get<std::string>(),
+                           .boot = json.at("boot").get<std::uint64_t>(),
+                           .registryGeneration = json.at("registry").get<std::uint64_t>(),
+                           .revision = json.at("revision").get<std::uint64_t>(),
+                           .activity = activityOf(json.at("activity"))};
     });
 }
 
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -22,14 +22,6 @@
 constexpr std::string_view registryPath = "/v1/registry";
 constexpr std::string_view replicationPath = "/v1/replication";
 
-struct EndedTarget
-{
-    TargetNumber number;
-    std::int64_t bornMilliseconds = 0;
-
-    friend bool operator==(EndedTarget const &, EndedTarget const &) = default;
-};
-
 // An entry asks for what has changed since; the answer waits until something has.
 struct ViewRequest
 {
@@ -39,7 +31,6 @@
     std::uint64_t registryGeneration = 0;
     std::uint64_t revision = 0; // Of the configuration log, as far as the entry has it.
     std::vector<TargetActivity> activity; // Flows of this entry at each target.
-    std::vector<EndedTarget> ended; // Targets that the entry found ended.
 
     friend bool operator==(ViewRequest const &, ViewRequest const &) = default;
 };
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -96,18 +96,15 @@
                               .boot = this->source->boot,
                               .registryGeneration = this->source->registryGeneration,
                               .revision = this->configuration ? this->configuration->revision : 0,
-                              .activity = this->hooks.activity(),
-                              .ended = this->ended};
+                              .activity = this->hooks.activity()};
     HttpCall const call{.server = this->source->endpoint,
                         .method = HttpMethod::Post,
                         .target = std::string(viewPath),
                         .body = formatViewRequest(request),
                         .timeout = requestTimeout};
     this->source->link->call(call,
-                             [this, link = this->source->link,
-                              told = request.ended](absl::StatusOr<HttpResponse> const &response) {
-                                 this->queue.post(
-                                     [this, told, response] { this->handleReply(told, response); });
+                             [this, link = this->source->link](absl::StatusOr<HttpResponse> const &response) {
+                                 this->queue.post([this, response] { this->handleReply(response); });
                              });
 }
 
@@ -116,8 +113,7 @@
     this->runtime.runAfter(retryDelay, [this] { this->queue.post([this] { this->ask(); }); });
 }
 
-void ViewFollower::handleReply(std::vector<EndedTarget> const &told,
-                               absl::StatusOr<HttpResponse> const &response)
+void ViewFollower::handleReply(absl::StatusOr<HttpResponse> const &response)
 {
     Timestamp const now = IoRuntime::now();
     absl::StatusOr<ViewReply> const reply = response.ok() && response->isSuccess()
@@ -128,8 +124,6 @@
         this->askLater();
         return;
     }
-    std::erase_if(this->ended,
-                  [&](EndedTarget const &target) { return std::ranges::find(told, target) != told.end(); });
     this->apply(*reply, now);
     // Without contact the others are asked, too; with none in contact this one is as good as any.
     if (reply->isInContact)
@@ -187,18 +181,4 @@
     this->hooks.viewChanged();
 }
 
-void ViewFollower::reportEnded(RegisteredTarget const &target)
-{
-    this->queue.post([this, target] { this->endTarget(target, IoRuntime::now()); });
-}
-
-void ViewFollower::endTarget(RegisteredTarget const &target, Timestamp now)
-{
-    if (this->registry.markGone(target.number, target.order.bornMilliseconds, now) != MergeOutcome::Changed)
-        return;
-    this->ended.push_back(
-        EndedTarget{.number = target.number, .bornMilliseconds = target.order.bornMilliseconds});
-    this->publishView(now);
-}
-
 } // namespace almondwing
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -45,9 +45,6 @@
 
     void start();
 
-    // A target that has ended for certain; the control instances are told with the next request.
-    void reportEnded(RegisteredTarget const &target);
-
     void learnSeeds(std::vector<Endpoint> const &seeds);
 
     ViewFreshness freshness() const { return *this->currentFreshness.read(); }
@@ -63,9 +60,8 @@
 
     void ask();
     void askLater();
-    void handleReply(std::vector<EndedTarget> const &told, absl::StatusOr<HttpResponse> const &response);
+    void handleReply(absl::StatusOr<HttpResponse> const &response);
     void apply(ViewReply const &reply, Timestamp now);
-    void endTarget(RegisteredTarget const &target, Timestamp now);
     void chooseSource(Timestamp now);
     void leaveSource(std::string const &reason);
     void publishView(Timestamp now);
@@ -88,7 +84,6 @@
     Timestamp sourceSince;
     std::optional<ConfigurationView> configuration; // Its revision never falls.
     std::set<TargetNumber> overdue;
-    std::vector<EndedTarget> ended;
 };
 
 } // namespace almondwing
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -27,8 +27,6 @@
 void ViewServer::handle(ViewRequest request, HttpRespond respond, Timestamp now)
 {
     this->activity.reportEntry(request.instance, request.activity, now);
-    for (EndedTarget const &target : request.ended)
-        this->registry.markGone(target.number, target.bornMilliseconds, now);
     {
         std::scoped_lock const lock(this->mutex);
         this->waiting.push_back(Waiting{.request = std::move(request),
--- a/Libraries/LibTokenRouting/TargetSigns.cpp
+++ b/Libraries/LibTokenRouting/TargetSigns.cpp
@@ -20,6 +20,7 @@
         TargetSigns next = signs.value_or(TargetSigns{});
         next.aliveAt = std::max(next.aliveAt, now);
         next.suspectUntil = Timestamp{};
+        next.refusedUntil = Timestamp{};
         return next;
     });
 }
@@ -77,6 +78,15 @@
     return board.signsOf(note.target).aliveAt < note.openedAt ? SignVerdict::Suspect : SignVerdict::None;
 }
 
+void noteRefusal(TokenBoard &board, TargetToken token, SignSettings const &settings, Timestamp now)
+{
+    board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        next.refusedUntil = now + settings.refusal;
+        return next;
+    });
+}
+
 void suspect(TokenBoard &board, TargetToken token, Timestamp until)
 {
     board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
--- a/Libraries/LibTokenRouting/TargetSigns.h
+++ b/Libraries/LibTokenRouting/TargetSigns.h
@@ -15,6 +15,9 @@
     // Judging by silence needs a target that other flows would have shown alive: it must have been heard from
     // through this instance this recently before the unanswered packet.
     Duration recentLife = 2s;
+    // How long a refused connection is taken as the end of the target; a new check follows if packets still
+    // go unanswered.
+    Duration refusal = 500ms;
 
     friend bool operator==(SignSettings const &, SignSettings const &) = default;
 };
@@ -31,4 +34,8 @@
 
 void suspect(TokenBoard &board, TargetToken token, Timestamp until);
 
+// A direct check found that nothing listens at the target. A link that refuses connections looks the same, so
+// the evidence is short-lived and never leaves this instance.
+void noteRefusal(TokenBoard &board, TargetToken token, SignSettings const &settings, Timestamp now);
+
 } // namespace almondwing
--- a/Libraries/LibTokenRouting/TokenBoard.h
+++ b/Libraries/LibTokenRouting/TokenBoard.h
@@ -36,8 +36,10 @@
     std::uint32_t remoteFlows = 0; // The same at the other instances, by their latest reports.
     Timestamp coldFlowAt; // The latest flow that it got while it was cold.
     Timestamp checkedAt; // The latest direct check.
+    Timestamp refusedUntil; // A direct check found that nothing listens there; forgotten at that time.
 
-    bool isSuspectAt(Timestamp now) const { return now < this->suspectUntil; }
+    bool isRefusedAt(Timestamp now) const { return now < this->refusedUntil; }
+    bool isSuspectAt(Timestamp now) const { return now < this->suspectUntil || this->isRefusedAt(now); }
 
     friend bool operator==(TargetSigns const &, TargetSigns const &) = default;
 };
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -83,18 +83,25 @@
     ViewTarget const *const target = view.targetOf(packet.token);
     if (target == nullptr)
         return HoldPacket{};
-    if (target->target.state == RegisteredState::Gone) {
-        if (packet.kind == PacketKind::Close)
-            return DropPacket{.reason = DropReason::UnknownFlow};
-        return ResetFlow{ResetReason::TargetEnded};
-    }
-    if (packet.kind == PacketKind::Close)
+    bool const isGone = target->target.state == RegisteredState::Gone;
+    if (packet.kind == PacketKind::Close) {
         this->board.flows.remove(packet.flow);
-    else if (noteDataPacket(this->board, packet, this->signSettings, now) == SignVerdict::Suspect)
+        return isGone ? PacketDecision(DropPacket{.reason = DropReason::UnknownFlow}) : forwardTo(*target);
+    }
+    if (isGone)
+        return ResetFlow{ResetReason::TargetEnded};
+    if (noteDataPacket(this->board, packet, this->signSettings, now) == SignVerdict::Suspect)
         this->raiseSuspicion(view, packet.token, now);
+    if (this->board.signsOf(packet.token).isRefusedAt(now))
+        return ResetFlow{ResetReason::TargetEnded};
     return forwardTo(*target);
 }
 
+void TokenRouter::noteRefusal(TargetToken token, Timestamp now)
+{
+    almondwing::noteRefusal(this->board, token, this->signSettings, now);
+}
+
 void TokenRouter::raiseSuspicion(ServingView const &view, TargetToken token, Timestamp now)
 {
     suspect(this->board, token, now + this->signSettings.suspicion);
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -24,6 +24,9 @@
 
     void setSharers(std::uint32_t sharers);
 
+    // The result of a direct check: nothing listens at the target.
+    void noteRefusal(TargetToken token, Timestamp now);
+
 private:
     PacketDecision decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now);
     PacketDecision decideLater(ServingView const &view, FlowPacket const &packet, Timestamp now);
