--- a/Libraries/LibNode/ActivityBoard.cpp
+++ b/Libraries/LibNode/ActivityBoard.cpp
@@ -43,49 +43,47 @@
                                 Timestamp now)
 {
     replaceReport(this->entries, instance,
-                  ActivityReport{.activity = std::move(activity), .entries = 1, .reportedAt = now});
+                  ActivityReport{.activity = std::move(activity), .reportedAt = now});
 }
 
-void ActivityBoard::reportPeer(std::string const &instance, ActivitySum const &sum, Timestamp now)
+void ActivityBoard::reportPeer(std::string const &instance, std::vector<TargetActivity> activity,
+                               Timestamp now)
 {
-    replaceReport(this->peers, instance,
-                  ActivityReport{.activity = sum.activity, .entries = sum.entries, .reportedAt = now});
+    replaceReport(this->peers, instance, ActivityReport{.activity = std::move(activity), .reportedAt = now});
 }
 
-ActivitySum ActivityBoard::ownEntries(Timestamp now) const
+std::vector<TargetActivity> ActivityBoard::ownEntries(Timestamp now) const
 {
     std::map<TargetToken, std::uint32_t> sums;
-    std::uint32_t entryCount = 0;
     auto const reports = this->entries.read();
-    for (auto const &[instance, report] : *reports) {
-        if (now - report.reportedAt > reportLifetime)
-            continue;
-        addTo(sums, report.activity);
-        ++entryCount;
+    for (auto const &[name, report] : *reports) {
+        if (now - report.reportedAt <= reportLifetime)
+            addTo(sums, report.activity);
     }
-    return ActivitySum{.activity = listOf(sums), .entries = entryCount};
+    return listOf(sums);
 }
 
-ActivitySum ActivityBoard::allBut(std::string const &instance, Timestamp now) const
+std::vector<TargetActivity> ActivityBoard::allBut(std::string const &instance, Timestamp now) const
 {
     std::map<TargetToken, std::uint32_t> sums;
-    std::uint32_t entryCount = 0;
-    auto const entryReports = this->entries.read();
-    for (auto const &[name, report] : *entryReports) {
-        if (now - report.reportedAt > reportLifetime)
-            continue;
-        ++entryCount;
-        if (name != instance)
-            addTo(sums, report.activity);
+    for (auto const &reports : {this->entries.read(), this->peers.read()}) {
+        for (auto const &[name, report] : *reports) {
+            if (name != instance && now - report.reportedAt <= reportLifetime)
+                addTo(sums, report.activity);
+        }
     }
-    auto const peerReports = this->peers.read();
-    for (auto const &[name, report] : *peerReports) {
-        if (now - report.reportedAt > reportLifetime)
-            continue;
-        entryCount += report.entries;
-        addTo(sums, report.activity);
+    return listOf(sums);
+}
+
+std::vector<std::string> ActivityBoard::entryNames(Timestamp now) const
+{
+    std::vector<std::string> names;
+    auto const reports = this->entries.read();
+    for (auto const &[name, report] : *reports) {
+        if (now - report.reportedAt <= reportLifetime)
+            names.push_back(name);
     }
-    return ActivitySum{.activity = listOf(sums), .entries = entryCount};
+    return names;
 }
 
 } // namespace almondwing
--- a/Libraries/LibNode/ActivityBoard.h
+++ b/Libraries/LibNode/ActivityBoard.h
@@ -17,31 +17,25 @@
 struct ActivityReport
 {
     std::vector<TargetActivity> activity;
-    std::uint32_t entries = 0; // That the report is about.
     Timestamp reportedAt;
 
     friend bool operator==(ActivityReport const &, ActivityReport const &) = default;
 };
 
-struct ActivitySum
-{
-    std::vector<TargetActivity> activity;
-    std::uint32_t entries = 0;
-
-    friend bool operator==(ActivitySum const &, ActivitySum const &) = default;
-};
-
 class ActivityBoard
 {
 public:
     // An entry or a control instance, by its name; an older report of it is replaced.
     void reportEntry(std::string const &instance, std::vector<TargetActivity> activity, Timestamp now);
-    void reportPeer(std::string const &instance, ActivitySum const &sum, Timestamp now);
+    void reportPeer(std::string const &instance, std::vector<TargetActivity> activity, Timestamp now);
 
     // Over all entries that report here.
-    ActivitySum ownEntries(Timestamp now) const;
+    std::vector<TargetActivity> ownEntries(Timestamp now) const;
     // Over all entries that are known, but for the flows of one of them.
-    ActivitySum allBut(std::string const &instance, Timestamp now) const;
+    std::vector<TargetActivity> allBut(std::string const &instance, Timestamp now) const;
+
+    // The entries that report here, in the order of their names.
+    std::vector<std::string> entryNames(Timestamp now) const;
 
 private:
     using Reports = std::map<std::string, ActivityReport>;
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -50,6 +50,12 @@
     return settings;
 }
 
+// One less than what a cold target may get, because two entries may hold a permit in turn within a second.
+std::size_t coldPermits(NodeSettings const &settings)
+{
+    return settings.coldFlowsPerSecond <= 1 ? 0 : static_cast<std::size_t>(settings.coldFlowsPerSecond) - 1;
+}
+
 std::uint64_t randomNumber()
 {
     std::random_device device;
@@ -97,7 +103,8 @@
     this->views = std::make_unique<ViewServer>(
         ViewServerSettings{.boot = this->boot,
                            .completeAfter = 2 * this->settings.heartbeatInterval + 1s,
-                           .startedAt = IoRuntime::now()},
+                           .startedAt = IoRuntime::now(),
+                           .coldPermits = coldPermits(this->settings)},
         *this->log, this->registry, this->directory, this->activity);
     this->learnSeeds(this->settings.seeds);
 }
--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -40,18 +40,17 @@
     : runtime(ioRuntime), settings(std::move(nodeSettings)), adapter(std::move(packetAdapter)),
       report(std::move(eventReporter)),
       router(
-          board,
-          PlacementSettings{.failureDomain = settings.failureDomain,
-                            .coldFlowsPerSecond = settings.coldFlowsPerSecond},
+          board, PlacementSettings{.failureDomain = settings.failureDomain},
           TokenRouterHooks{.random = randomNumber,
                            .checkTarget = [this](ViewTarget const &target) { this->checkTarget(target); }}),
       held(HeldPacketLimits{}),
-      follower(
-          ioRuntime, settings, board,
-          FollowerHooks{.viewChanged = [this] { this->retryHeld(); },
-                        .entriesKnown = [this](std::uint32_t entries) { this->router.setSharers(entries); },
-                        .activity = [this] { return *this->activity.read(); },
-                        .report = this->report})
+      follower(ioRuntime, settings, board,
+               FollowerHooks{
+                   .viewChanged = [this] { this->retryHeld(); },
+
+                   .coldFlowsPermitted = [this](Timestamp until) { this->router.permitColdFlows(until); },
+                   .activity = [this] { return *this->activity.read(); },
+                   .report = this->report})
 {
 }
 
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -189,8 +189,9 @@
     Json json{{"boot", reply.boot},
               {"registry", reply.registryGeneration},
               {"contact", reply.isInContact},
-              {"complete", reply.isComplete},
-              {"entries", reply.entries}};
+              {"complete", reply.isComplete}};
+    if (reply.mayOpenCold)
+        json["cold"] = true;
     if (reply.extent == RegistryExtent::Full)
         json["full"] = true;
     if (reply.configuration)
@@ -217,7 +218,7 @@
                         .isInContact = json.at("contact").get<bool>(),
                         .targets = targetsOf(json.value("targets", none), now),
                         .controls = peersOf(json.value("controls", none)),
-                        .entries = json.at("entries").get<std::uint32_t>(),
+                        .mayOpenCold = json.contains("cold"),
                         .activity = activityOf(json.value("activity", none))};
         if (json.contains("configuration"))
             reply.configuration = configurationOf(json.at("configuration"));
@@ -238,7 +239,6 @@
                 {"peers", toJson(exchange.peers)},
                 {"hears", std::move(hears)},
                 {"targets", toJson(exchange.targets, now)},
-                {"entries", exchange.entries},
                 {"activity", toJson(exchange.activity)}}
         .dump();
 }
@@ -251,7 +251,6 @@
                                   .boot = json.at("boot").get<std::uint64_t>(),
                                   .peers = peersOf(json.at("peers")),
                                   .targets = targetsOf(json.at("targets"), now),
-                                  .entries = json.at("entries").get<std::uint32_t>(),
                                   .activity = activityOf(json.at("activity"))};
         for (Json const &peer : json.at("hears"))
             exchange.hears.push_back(endpointOf(peer));
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -58,7 +58,7 @@
     std::vector<RegisteredTarget> targets; // Changed ones.
     std::vector<TargetNumber> overdue; // Targets whose heartbeats have stopped.
     std::vector<ControlPeer> controls;
-    std::uint32_t entries = 1; // All that are known.
+    bool mayOpenCold = false; // The entry may open flows at cold targets for a second.
     std::vector<TargetActivity> activity; // Flows of all other entries at each target.
 
     friend bool operator==(ViewReply const &, ViewReply const &) = default;
@@ -73,8 +73,7 @@
     std::vector<ControlPeer> peers; // heardAt is meaningful only as "lately or not".
     std::vector<Endpoint> hears; // Peers that the sender has heard directly a short time ago.
     std::vector<RegisteredTarget> targets;
-    std::uint32_t entries = 0; // That follow the sender.
-    std::vector<TargetActivity> activity; // Of those entries.
+    std::vector<TargetActivity> activity; // Of the entries that follow the sender.
 
     friend bool operator==(RegistryExchange const &, RegistryExchange const &) = default;
 };
--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -73,9 +73,7 @@
         if (this->isHeard(peer, now))
             exchange.hears.push_back(endpoint);
     }
-    ActivitySum const own = this->activity.ownEntries(now);
-    exchange.entries = own.entries;
-    exchange.activity = own.activity;
+    exchange.activity = this->activity.ownEntries(now);
     return exchange;
 }
 
@@ -151,8 +149,7 @@
         std::scoped_lock const lock(link->mutex);
         link->hears = exchange.hears;
     }
-    this->activity.reportPeer(exchange.from.toString(),
-                              ActivitySum{.activity = exchange.activity, .entries = exchange.entries}, now);
+    this->activity.reportPeer(exchange.from.toString(), exchange.activity, now);
     return RegistryExchangeReply{.boot = this->settings.boot};
 }
 
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -14,6 +14,9 @@
 // A control instance answers within 400 ms even if nothing has changed.
 constexpr Duration requestTimeout = 800ms;
 
+// A permit is renewed with every answer.
+constexpr Duration coldPermitLifetime = 1s;
+
 // Before the next instance is asked; several that are down are tried in turn.
 constexpr Duration retryDelay = 50ms;
 
@@ -158,7 +161,8 @@
         return freshness;
     });
     isChanged |= before.isRegistryComplete != this->freshness().isRegistryComplete;
-    this->hooks.entriesKnown(reply.entries);
+    if (reply.mayOpenCold)
+        this->hooks.coldFlowsPermitted(now + coldPermitLifetime);
     noteRemoteActivity(this->board, reply.activity);
     if (isChanged)
         this->publishView(now);
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -22,7 +22,7 @@
 struct FollowerHooks
 {
     std::function<void()> viewChanged;
-    std::function<void(std::uint32_t entries)> entriesKnown;
+    std::function<void(Timestamp until)> coldFlowsPermitted;
     std::function<std::vector<TargetActivity>()> activity; // Of this entry.
     EventReporter report;
 };
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -2,10 +2,18 @@
 
 #include <LibNode/ViewServer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace almondwing {
 
+namespace {
+
+// A leader without a majority steps down within 400 ms, and its permits end 1 s after that.
+constexpr Duration permitDelay = 2s;
+
+} // namespace
+
 ViewServer::ViewServer(ViewServerSettings viewSettings, DocumentLog &documentLog,
                        TargetRegistry &targetRegistry, PeerDirectory &peerDirectory,
                        ActivityBoard &activityBoard)
@@ -46,6 +54,26 @@
         || this->log.contact()->isInContact != entry.wasInContact || overdue != entry.overdue;
 }
 
+// Only the leader gives permits, and only after those of an earlier leader have ended.
+bool ViewServer::mayOpenCold(std::string const &instance, Timestamp now) const
+{
+    auto const since = this->leadsSince.read();
+    if (!since->has_value() || now - **since < permitDelay)
+        return false;
+    std::vector<std::string> const names = this->activity.entryNames(now);
+    auto const own = std::ranges::find(names, instance);
+    return static_cast<std::size_t>(own - names.begin()) < this->settings.coldPermits;
+}
+
+void ViewServer::noteLeadership(Timestamp now)
+{
+    bool const leads = this->log.contact()->status.role == ReplicaRole::Leader;
+    if (leads == this->leadsSince.read()->has_value())
+        return;
+    this->leadsSince.update(
+        [&](auto const &) { return leads ? std::optional(now) : std::optional<Timestamp>(); });
+}
+
 ViewReply ViewServer::replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue,
                               Timestamp now) const
 {
@@ -65,14 +93,14 @@
         for (auto const &[endpoint, peer] : this->directory.peers())
             reply.controls.push_back(peer);
     }
-    ActivitySum sum = this->activity.allBut(request.instance, now);
-    reply.entries = sum.entries;
-    reply.activity = std::move(sum.activity);
+    reply.mayOpenCold = this->mayOpenCold(request.instance, now);
+    reply.activity = this->activity.allBut(request.instance, now);
     return reply;
 }
 
 void ViewServer::answerDue(Timestamp now)
 {
+    this->noteLeadership(now);
     std::vector<TargetNumber> const overdue = this->overdueTargets(now);
     std::vector<Waiting> due;
     {
--- a/Libraries/LibNode/ViewServer.h
+++ b/Libraries/LibNode/ViewServer.h
@@ -9,7 +9,10 @@
 #include <LibRegistry/PeerDirectory.h>
 #include <LibRegistry/TargetRegistry.h>
 
+#include <cstddef>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace almondwing {
@@ -23,6 +26,7 @@
     // that first tries an instance that does not answer.
     Duration completeAfter = 3400ms;
     Timestamp startedAt;
+    std::size_t coldPermits = 4; // Entries that may open flows at cold targets at a time.
 
     friend bool operator==(ViewServerSettings const &, ViewServerSettings const &) = default;
 };
@@ -54,12 +58,15 @@
     bool isDue(Waiting const &waiting, std::vector<TargetNumber> const &overdue, Timestamp now) const;
     ViewReply replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue, Timestamp now) const;
     std::vector<TargetNumber> overdueTargets(Timestamp now) const;
+    bool mayOpenCold(std::string const &instance, Timestamp now) const;
+    void noteLeadership(Timestamp now);
 
     ViewServerSettings settings;
     DocumentLog &log;
     TargetRegistry &registry;
     PeerDirectory &directory;
     ActivityBoard &activity;
+    Cell<std::optional<Timestamp>> leadsSince; // Nothing while another replica leads.
     std::mutex mutex; // Guards waiting.
     std::vector<Waiting> waiting;
 };
--- a/Libraries/LibTokenRouting/FlowPlacement.cpp
+++ b/Libraries/LibTokenRouting/FlowPlacement.cpp
@@ -97,15 +97,13 @@
     return any->target->token;
 }
 
-// Each instance takes its part of what a cold target may get, and only inside its own failure domain if it
-// can.
 std::optional<TargetToken> placeOnCold(Candidates const &cold, PlacementSettings const &settings,
                                        RandomSource const &random, Timestamp now)
 {
-    auto const interval = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(settings.sharers / std::max(settings.coldFlowsPerSecond, 0.001)));
-    Candidates const due = filtered(cold, [&](Candidate const &candidate) {
-        return now - candidate.signs.coldFlowAt >= interval || candidate.signs.coldFlowAt == Timestamp{};
+    if (now >= settings.mayOpenColdUntil)
+        return std::nullopt;
+    Candidates const due = filtered(cold, [now](Candidate const &candidate) {
+        return now - candidate.signs.coldFlowAt >= coldFlowInterval;
     });
     Candidates const own = filtered(
         due, [&](Candidate const &candidate) { return isInDomain(candidate, settings.failureDomain); });
--- a/Libraries/LibTokenRouting/FlowPlacement.h
+++ b/Libraries/LibTokenRouting/FlowPlacement.h
@@ -11,13 +11,16 @@
 
 namespace almondwing {
 
+// An instance with a permit opens a flow at a cold target at most this often, so that in any second there are
+// no more flows than permits.
+constexpr Duration coldFlowInterval = 1100ms;
+
 struct PlacementSettings
 {
     std::string failureDomain; // Of this instance; its targets are preferred.
-    // Instances that share the budget of cold targets, this one included.
-    std::uint32_t sharers = 1;
-    // Flows a second that all instances together may open at a cold target.
-    double coldFlowsPerSecond = 5.0;
+    // Cold targets get flows only from the few instances that a control instance has permitted, so that all
+    // together keep the bound. Permits are short and renewed.
+    Timestamp mayOpenColdUntil;
     // Another failure domain gets a flow only if the targets there carry this many times less for their
     // slots: the hop costs, and the flow would not survive a partition.
     double domainPreference = 1.5;
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -25,12 +25,10 @@
 {
 }
 
-void TokenRouter::setSharers(std::uint32_t sharers)
+void TokenRouter::permitColdFlows(Timestamp until)
 {
-    if (this->placement.read()->sharers == sharers)
-        return;
-    this->placement.update([sharers](PlacementSettings settings) {
-        settings.sharers = sharers;
+    this->placement.update([until](PlacementSettings settings) {
+        settings.mayOpenColdUntil = until;
         return settings;
     });
 }
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -22,7 +22,7 @@
 
     PacketDecision decide(FlowPacket const &packet, Timestamp now);
 
-    void setSharers(std::uint32_t sharers);
+    void permitColdFlows(Timestamp until);
 
     // The result of a direct check: nothing listens at the target.
     void noteRefusal(TargetToken token, Timestamp now);
--- /dev/null
+++ b/Tests/LibConfiguration/DocumentStateTest.cpp
@@ -0,0 +1,74 @@
+// Tests of the state machine of whole configurations.
+
+#include <LibConfiguration/DocumentState.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace almondwing {
+
+class DocumentStateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DocumentStateTest);
+    CPPUNIT_TEST(highestVersionWinsInAnyOrder);
+    CPPUNIT_TEST(equalVersionNeverReplacesTheText);
+    CPPUNIT_TEST(domainsGoOutAndComeBack);
+    CPPUNIT_TEST(changeWithoutEffectIsSeenAsSuch);
+    CPPUNIT_TEST_SUITE_END();
+
+    void highestVersionWinsInAnyOrder()
+    {
+        bool const holds = rc::check([] {
+            auto const versions = *rc::gen::nonEmpty(
+                rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(1, 50)));
+            DocumentState state;
+            std::uint64_t highest = 0;
+            for (std::uint64_t const version : versions) {
+                state = applyDocumentChange(state, ReplaceDocument{version, std::to_string(version)});
+                RC_ASSERT(state.version >= highest);
+                highest = std::max(highest, version);
+            }
+            RC_ASSERT(state.version == highest);
+            RC_ASSERT(*state.text == std::to_string(highest));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    // Guards against two operators of whom the second changes what the first was told to be in force.
+    void equalVersionNeverReplacesTheText()
+    {
+        DocumentState state = applyDocumentChange(DocumentState{}, ReplaceDocument{5, "first"});
+        state = applyDocumentChange(state, ReplaceDocument{5, "second"});
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), *state.text);
+    }
+
+    void domainsGoOutAndComeBack()
+    {
+        DocumentState state = applyDocumentChange(DocumentState{}, TakeOutDomain{"dar-a"});
+        CPPUNIT_ASSERT(state.domains.at("dar-a") == DomainService::TakenOut);
+        state = applyDocumentChange(state, BringBackDomain{"dar-a"});
+        CPPUNIT_ASSERT(state.domains.at("dar-a") == DomainService::InService);
+        state = applyDocumentChange(state, BringBackDomain{"dar-b"});
+        CPPUNIT_ASSERT(!state.domains.contains("dar-b"));
+    }
+
+    void changeWithoutEffectIsSeenAsSuch()
+    {
+        DocumentState state = applyDocumentChange(DocumentState{}, ReplaceDocument{5, "first"});
+        CPPUNIT_ASSERT(isWithoutEffect(state, ReplaceDocument{5, "second"}));
+        CPPUNIT_ASSERT(isWithoutEffect(state, ReplaceDocument{4, "first"}));
+        CPPUNIT_ASSERT(!isWithoutEffect(state, ReplaceDocument{6, "first"}));
+        CPPUNIT_ASSERT(!isWithoutEffect(state, TakeOutDomain{"dar-a"}));
+        CPPUNIT_ASSERT(isWithoutEffect(state, BringBackDomain{"dar-a"}));
+        state = applyDocumentChange(state, TakeOutDomain{"dar-a"});
+        CPPUNIT_ASSERT(isWithoutEffect(state, TakeOutDomain{"dar-a"}));
+        CPPUNIT_ASSERT(!isWithoutEffect(state, BringBackDomain{"dar-a"}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentStateTest);
+
+} // namespace almondwing
--- a/Tests/LibFrontEnd/RunningRuntime.h
+++ b/Tests/LibFrontEnd/RunningRuntime.h
@@ -31,10 +31,18 @@
 {
 public:
     RunningRuntime() : loop([this] { this->runtime.run(4); }) { }
-    ~RunningRuntime() { this->runtime.stop(); }
+    ~RunningRuntime() { this->stop(); }
     RunningRuntime(RunningRuntime const &) = delete;
     RunningRuntime &operator=(RunningRuntime const &) = delete;
 
+    // From then on no handler runs any more.
+    void stop()
+    {
+        this->runtime.stop();
+        if (this->loop.joinable())
+            this->loop.join();
+    }
+
     IoRuntime runtime;
 
 private:
--- /dev/null
+++ b/Tests/LibNode/DocumentLogTest.cpp
@@ -0,0 +1,83 @@
+// Tests of control instances with a replicated configuration, over loopback.
+
+#include "NodeFixture.h"
+
+namespace almondwing {
+
+class DocumentLogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DocumentLogTest);
+    CPPUNIT_TEST(acceptedConfigurationIsReadBackAsSent);
+    CPPUNIT_TEST(lowerOrEqualVersionIsAcknowledgedAndChangesNothing);
+    CPPUNIT_TEST(othersNameTheLeader);
+    CPPUNIT_TEST(minorityAcknowledgesAndReadsNothing);
+    CPPUNIT_TEST(unknownFailureDomainIsRefused);
+    CPPUNIT_TEST(invalidDocumentIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr char const *first = "3 198.18.0.1:443 orders";
+
+    void acceptedConfigurationIsReadBackAsSent()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", first);
+        CPPUNIT_ASSERT_EQUAL(std::string(first), fixture.callUntilDone("/read", "").body);
+    }
+
+    // Guards against an older or other text under a version that is held.
+    void lowerOrEqualVersionIsAcknowledgedAndChangesNothing()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", first);
+        fixture.callUntilDone("/replace", "2 198.18.0.1:443 prints");
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 prints");
+        CPPUNIT_ASSERT_EQUAL(std::string(first), fixture.callUntilDone("/read", "").body);
+        fixture.callUntilDone("/replace", "9 198.18.0.1:443 prints");
+        CPPUNIT_ASSERT_EQUAL(std::string("9 198.18.0.1:443 prints"), fixture.callUntilDone("/read", "").body);
+    }
+
+    void othersNameTheLeader()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", first);
+        std::size_t leaders = 0;
+        for (std::size_t index = 0; index < 3; ++index) {
+            NodeFixture::waitUntil("each answers or redirects", [&] {
+                unsigned const status = fixture.call(index, "/read", "").status;
+                leaders += status == 200 ? 1 : 0;
+                return status == 200 || status == 307;
+            });
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders);
+    }
+
+    // Guards against an acknowledgement or a read that a majority does not stand behind.
+    void minorityAcknowledgesAndReadsNothing()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", first);
+        fixture.stopControl(0);
+        fixture.stopControl(1);
+        for (int attempt = 0; attempt < 20; ++attempt) {
+            CPPUNIT_ASSERT(!fixture.call(2, "/replace", "9 198.18.0.1:443 prints").isSuccess());
+            CPPUNIT_ASSERT(!fixture.call(2, "/read", "").isSuccess());
+        }
+    }
+
+    void unknownFailureDomainIsRefused()
+    {
+        NodeFixture fixture(3);
+        CPPUNIT_ASSERT_EQUAL(404U, fixture.call(0, "/take-out", "nowhere").status);
+        fixture.callUntilDone("/take-out", "dar-a");
+    }
+
+    void invalidDocumentIsRefused()
+    {
+        NodeFixture fixture(3);
+        CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, "/replace", "4 nowhere orders").status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentLogTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibNode/NodeFixture.h
@@ -0,0 +1,191 @@
+// Control instances and an entry in this process, on loopback ports of their own, with a front end of the
+// test.
+
+#pragma once
+
+#include <LibFrontEnd/IoContext.h>
+
+#include "RunningRuntime.h"
+
+#include <LibFrontEnd/HttpClient.h>
+#include <LibFrontEnd/UdpSocket.h>
+#include <LibNode/ControlServer.h>
+#include <LibNode/EntryNode.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace almondwing {
+
+// A folder that goes away with the test.
+class TestFolder
+{
+public:
+    TestFolder()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "almondwing-node-XXXXXX").string();
+        CPPUNIT_ASSERT(::mkdtemp(pattern.data()) != nullptr);
+        this->path = pattern;
+    }
+    ~TestFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(this->path, ignored);
+    }
+    TestFolder(TestFolder const &) = delete;
+    TestFolder &operator=(TestFolder const &) = delete;
+
+    std::string path;
+};
+
+// A port that is free now; the kernel does not hand it out again soon.
+inline Endpoint freeEndpoint()
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::acceptor const acceptor(context, toAsio<tcp>(anyLoopbackPort));
+    return fromAsio(acceptor.local_endpoint());
+}
+
+// The front end of the tests: "version address service" is a configuration, and paths name the other calls.
+inline absl::StatusOr<FlowConfiguration> parseTestDocument(std::string const &text)
+{
+    std::istringstream words(text);
+    FlowConfiguration configuration;
+    std::string address;
+    std::string service;
+    if (!(words >> configuration.version >> address >> service))
+        return absl::InvalidArgumentError("not a test document");
+    auto const endpoint = Endpoint::parse(address);
+    if (!endpoint.ok())
+        return endpoint.status();
+    configuration.routes.push_back(
+        FlowRoute{.endpoint = *endpoint, .services = {WeightedService{service, 1}}});
+    return configuration;
+}
+
+inline ControlCall decodeTestCall(HttpRequest const &request)
+{
+    if (request.path == "/read")
+        return ReadCall{};
+    if (request.path == "/leave")
+        return LeaveCall{.target = TargetNumber{std::stoull(request.body)}};
+    if (request.path == "/take-out")
+        return ChangeCall{TakeOutDomain{request.body}};
+    if (request.path == "/bring-back")
+        return ChangeCall{BringBackDomain{request.body}};
+    if (request.path == "/heartbeat") {
+        auto const targets = parseTargets(request.body, Timestamp{1h});
+        return targets.ok() ? ControlCall(HeartbeatCall{.target = targets->front()})
+                            : ControlCall(InvalidCall{.reason = std::string(targets.status().message())});
+    }
+    auto const configuration = parseTestDocument(request.body);
+    if (!configuration.ok())
+        return InvalidCall{.reason = std::string(configuration.status().message())};
+    return ChangeCall{ReplaceDocument{.version = configuration->version, .text = request.body}};
+}
+
+// A control instance on threads of its own, so that it can end while the others run.
+struct ControlProcess
+{
+    ~ControlProcess() { this->running.stop(); }
+
+    RunningRuntime running;
+    std::unique_ptr<ControlServer> server;
+};
+
+class NodeFixture
+{
+public:
+    // Control instances that begin a history together.
+    explicit NodeFixture(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index)
+            this->seeds.push_back(freeEndpoint());
+        this->controls.resize(count);
+        for (std::size_t index = 0; index < count; ++index)
+            this->startControl(index, true);
+    }
+
+    ~NodeFixture() { this->running.stop(); }
+    NodeFixture(NodeFixture const &) = delete;
+    NodeFixture &operator=(NodeFixture const &) = delete;
+
+    // Each start gets an empty disk.
+    void startControl(std::size_t index, bool isFirstStart)
+    {
+        this->folders.push_back(std::make_unique<TestFolder>());
+        NodeSettings const settings{.instance = "control-" + std::to_string(index),
+                                    .failureDomain = "dar-" + std::string(1, static_cast<char>('a' + index)),
+                                    .failureDomains = {"dar-a", "dar-b", "dar-c"},
+                                    .control = this->seeds[index],
+                                    .seeds = this->seeds,
+                                    .dataFolder = this->folders.back()->path,
+                                    .isFirstStart = isFirstStart,
+                                    .heartbeatInterval = 100ms};
+        auto process = std::make_unique<ControlProcess>();
+        process->server = std::make_unique<ControlServer>(
+            process->running.runtime, settings,
+            ControlAdapter{.decode = decodeTestCall, .parseDocument = parseTestDocument},
+            [](Event, std::string const &) {});
+        CPPUNIT_ASSERT(process->server->open().ok());
+        process->server->start();
+        this->controls[index] = std::move(process);
+    }
+
+    void stopControl(std::size_t index) { this->controls[index].reset(); }
+
+    // One call, without following a redirect; the status, 0 if there was no answer.
+    HttpResponse call(std::size_t control, std::string const &path, std::string const &body)
+    {
+        auto const answered = std::make_shared<std::promise<HttpResponse>>();
+        callHttp(this->running.runtime,
+                 HttpCall{.server = this->seeds[control],
+                          .method = HttpMethod::Post,
+                          .target = path,
+                          .body = body,
+                          .timeout = 5s},
+                 [answered](absl::StatusOr<HttpResponse> const &response) {
+                     answered->set_value(response.ok() ? *response : HttpResponse{.status = 0});
+                 });
+        return valueOf(answered->get_future());
+    }
+
+    // Calls one control instance after the other until one succeeds.
+    HttpResponse callUntilDone(std::string const &path, std::string const &body)
+    {
+        auto const end = std::chrono::steady_clock::now() + hangLimit;
+        for (std::size_t next = 0; std::chrono::steady_clock::now() < end; ++next) {
+            HttpResponse const response = this->call(next % this->controls.size(), path, body);
+            if (response.isSuccess())
+                return response;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_FAIL("no control instance accepted " + path);
+        return {};
+    }
+
+    template<typename Condition>
+    static void waitUntil(char const *what, Condition const &condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + hangLimit;
+        while (!condition()) {
+            CPPUNIT_ASSERT_MESSAGE(what, std::chrono::steady_clock::now() < end);
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    std::vector<std::unique_ptr<TestFolder>> folders;
+    std::vector<Endpoint> seeds;
+    std::vector<std::unique_ptr<ControlProcess>> controls; // Null while an instance is down.
+    RunningRuntime running;
+};
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -0,0 +1,127 @@
+// Tests of the codec between instances.
+
+#include <LibNode/NodeWire.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Timestamp senderNow{5h};
+constexpr Timestamp receiverNow{1h};
+
+RegisteredTarget someTarget()
+{
+    return RegisteredTarget{.number = TargetNumber{0xfeedfacecafe},
+                            .service = "orders",
+                            .failureDomain = "dar-a",
+                            .endpoint = Endpoint{.address = 0x0a800009, .port = 8080},
+                            .slots = 2,
+                            .state = RegisteredState::Draining,
+                            .order = ReportOrder{.bornMilliseconds = 1796379918051, .sequence = 77},
+                            .heardAt = senderNow - 300ms,
+                            .coldUntil = senderNow + 1500ms};
+}
+
+ViewReply someReply()
+{
+    ViewReply reply{.boot = 9,
+                    .registryGeneration = 12,
+                    .extent = RegistryExtent::Full,
+                    .isComplete = true,
+                    .isInContact = true,
+                    .targets = {someTarget()},
+                    .overdue = {TargetNumber{5}},
+                    .controls = {ControlPeer{.endpoint = Endpoint{.address = 0x0a010001, .port = 8166},
+                                             .failureDomain = "dar-b"}},
+                    .mayOpenCold = true,
+                    .activity = {TargetActivity{.token = TargetToken{3}, .flows = 8}}};
+    reply.configuration = ConfigurationView{
+        .revision = 40,
+        .configuration = FlowConfiguration{.version = 7,
+                                           .routes = {FlowRoute{
+                                               .endpoint = Endpoint{.address = 0xc6120001, .port = 443},
+                                               .services = {WeightedService{"orders", 90},
+                                                            WeightedService{"prints", 10}}}}},
+        .domainsTakenOut = {"dar-c"}};
+    return reply;
+}
+
+} // namespace
+
+class NodeWireTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NodeWireTest);
+    CPPUNIT_TEST(agesSurviveTheDifferenceOfClocks);
+    CPPUNIT_TEST(viewReplyComesBackWhole);
+    CPPUNIT_TEST(exchangeComesBackWhole);
+    CPPUNIT_TEST(cutMessagesAreRefused);
+    CPPUNIT_TEST(wrongTypesAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    void agesSurviveTheDifferenceOfClocks()
+    {
+        auto const targets = parseTargets(formatTargets({someTarget()}, senderNow), receiverNow);
+        CPPUNIT_ASSERT(targets.ok());
+        RegisteredTarget expected = someTarget();
+        expected.heardAt = receiverNow - 300ms;
+        expected.coldUntil = receiverNow + 1500ms;
+        CPPUNIT_ASSERT(targets->front() == expected);
+    }
+
+    void viewReplyComesBackWhole()
+    {
+        auto const reply = parseViewReply(formatViewReply(someReply(), senderNow), senderNow);
+        CPPUNIT_ASSERT(reply.ok());
+        CPPUNIT_ASSERT(*reply == someReply());
+        ViewRequest const request{.instance = "entry-1",
+                                  .failureDomain = "dar-a",
+                                  .boot = 1,
+                                  .registryGeneration = 2,
+                                  .revision = 3,
+                                  .activity = {TargetActivity{.token = TargetToken{3}, .flows = 8}}};
+        auto const parsed = parseViewRequest(formatViewRequest(request));
+        CPPUNIT_ASSERT(parsed.ok());
+        CPPUNIT_ASSERT(*parsed == request);
+    }
+
+    void exchangeComesBackWhole()
+    {
+        RegistryExchange const exchange{.from = Endpoint{.address = 0x0a010001, .port = 8166},
+                                        .failureDomain = "dar-a",
+                                        .boot = 4,
+                                        .peers = someReply().controls,
+                                        .hears = {Endpoint{.address = 0x0a020001, .port = 8166}},
+                                        .targets = {someTarget()},
+                                        .activity = someReply().activity};
+        auto const parsed = parseRegistryExchange(formatRegistryExchange(exchange, senderNow), senderNow);
+        CPPUNIT_ASSERT(parsed.ok());
+        CPPUNIT_ASSERT(*parsed == exchange);
+    }
+
+    void cutMessagesAreRefused()
+    {
+        std::string const text = formatViewReply(someReply(), senderNow);
+        bool const holds = rc::check([&text] {
+            auto const length = *rc::gen::inRange<std::size_t>(0, text.size());
+            RC_ASSERT(!parseViewReply(text.substr(0, length), senderNow).ok());
+            RC_ASSERT(!parseRegistryExchange(text.substr(0, length), senderNow).ok());
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void wrongTypesAreRefused()
+    {
+        CPPUNIT_ASSERT(!parseViewRequest("[]").ok());
+        CPPUNIT_ASSERT(!parseTargets(R"([[1,"s","d","10.0.0.1:80",2,9,1,1,0,0]])", receiverNow).ok());
+        CPPUNIT_ASSERT(!parseTargets(R"([[1,"s","d","nowhere",2,0,1,1,0,0]])", receiverNow).ok());
+        CPPUNIT_ASSERT(!parseTargets(R"([[1,"s","d","10.0.0.1:80",2,0,1,1,1e18,0]])", receiverNow).ok());
+        CPPUNIT_ASSERT(parseTargets(R"([[1,"s","d","10.0.0.1:80",2,0,1,1,0,0]])", receiverNow).ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeWireTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibNode/SpreadTest.cpp
@@ -0,0 +1,129 @@
+// Tests of the registry and the view as they spread over control instances and entries.
+
+#include "NodeFixture.h"
+
+namespace almondwing {
+
+namespace {
+
+std::string heartbeat(std::uint64_t number, std::uint64_t sequence, RegisteredState state)
+{
+    Timestamp const now{1h};
+    return formatTargets(
+        {RegisteredTarget{.number = TargetNumber{number},
+                          .service = "orders",
+                          .failureDomain = "dar-a",
+                          .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
+                          .state = state,
+                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = sequence},
+                          .heardAt = now,
+                          .coldUntil = now}},
+        now);
+}
+
+ViewReply viewAt(NodeFixture &fixture, std::size_t control)
+{
+    HttpResponse const response = fixture.call(
+        control, "/v1/view", formatViewRequest(ViewRequest{.instance = "entry", .failureDomain = "dar-a"}));
+    auto const reply = parseViewReply(response.body, Timestamp{1h});
+    CPPUNIT_ASSERT(reply.ok());
+    return *reply;
+}
+
+} // namespace
+
+class SpreadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SpreadTest);
+    CPPUNIT_TEST(drainIsAcknowledgedWhenTheOthersKnow);
+    CPPUNIT_TEST(drainIsRefusedWhileTheOthersCannotBeTold);
+    CPPUNIT_TEST(newProcessGetsTheWholeRegistry);
+    CPPUNIT_TEST(viewAnswersOnlyAfterAWaitIfNothingHasChanged);
+    CPPUNIT_TEST(badInputIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static RegisteredState stateAt(NodeFixture &fixture, std::size_t control, std::uint64_t number)
+    {
+        for (RegisteredTarget const &target : viewAt(fixture, control).targets) {
+            if (target.number == TargetNumber{number})
+                return target.state;
+        }
+        return RegisteredState::Gone;
+    }
+
+    // Guards against an acknowledged drain that is lost with the instance that acknowledged it.
+    void drainIsAcknowledgedWhenTheOthersKnow()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready)).isSuccess());
+        NodeFixture::waitUntil("the others know the target", [&] {
+            return stateAt(fixture, 1, 7) == RegisteredState::Ready
+                && stateAt(fixture, 2, 7) == RegisteredState::Ready;
+        });
+        NodeFixture::waitUntil("the drain is acknowledged", [&] {
+            return fixture.call(0, "/heartbeat", heartbeat(7, 2, RegisteredState::Draining)).isSuccess();
+        });
+        int holders = 0;
+        for (std::size_t control = 0; control < 3; ++control)
+            holders += stateAt(fixture, control, 7) == RegisteredState::Draining ? 1 : 0;
+        CPPUNIT_ASSERT(holders >= 2);
+    }
+
+    void drainIsRefusedWhileTheOthersCannotBeTold()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+        NodeFixture::waitUntil("the others know the target",
+                               [&] { return stateAt(fixture, 2, 7) == RegisteredState::Ready; });
+        fixture.stopControl(1);
+        fixture.stopControl(2);
+        HttpResponse const response =
+            fixture.call(0, "/heartbeat", heartbeat(7, 2, RegisteredState::Draining));
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+    }
+
+    void newProcessGetsTheWholeRegistry()
+    {
+        NodeFixture fixture(3);
+        fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+        NodeFixture::waitUntil("the others know the target",
+                               [&] { return stateAt(fixture, 2, 7) == RegisteredState::Ready; });
+        fixture.stopControl(2);
+        fixture.startControl(2, false);
+        NodeFixture::waitUntil("the new process knows the target",
+                               [&] { return stateAt(fixture, 2, 7) == RegisteredState::Ready; });
+    }
+
+    void viewAnswersOnlyAfterAWaitIfNothingHasChanged()
+    {
+        NodeFixture fixture(1);
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        ViewReply const known = viewAt(fixture, 0);
+        CPPUNIT_ASSERT(known.extent == RegistryExtent::Full);
+        CPPUNIT_ASSERT(known.configuration && known.configuration->configuration.version == 3);
+        ViewRequest const again{.instance = "entry",
+                                .failureDomain = "dar-a",
+                                .boot = known.boot,
+                                .registryGeneration = known.registryGeneration,
+                                .revision = known.configuration->revision};
+        auto const reply =
+            parseViewReply(fixture.call(0, "/v1/view", formatViewRequest(again)).body, Timestamp{1h});
+        CPPUNIT_ASSERT(reply.ok());
+        CPPUNIT_ASSERT(reply->extent == RegistryExtent::Difference);
+        CPPUNIT_ASSERT(!reply->configuration && reply->targets.empty());
+    }
+
+    void badInputIsRefused()
+    {
+        NodeFixture fixture(1);
+        for (char const *path : {"/v1/view", "/v1/registry", "/v1/replication", "/heartbeat"})
+            CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, path, "{\"from\":").status);
+        CPPUNIT_ASSERT(viewAt(fixture, 0).targets.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SpreadTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -0,0 +1,199 @@
+// Tests of the registry of targets: the order of reports, ends, cold phases and silence.
+
+#include <LibRegistry/TargetRegistry.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace almondwing {
+
+namespace {
+
+constexpr Timestamp start{1h};
+
+RegisteredTarget targetAt(std::uint64_t number, std::int64_t born, std::uint64_t sequence,
+                          RegisteredState state = RegisteredState::Ready)
+{
+    return RegisteredTarget{
+        .number = TargetNumber{number},
+        .service = "orders",
+        .failureDomain = "dar-a",
+        .endpoint = Endpoint{.address = 0x0a800000U + static_cast<std::uint32_t>(number), .port = 8080},
+        .slots = 2,
+        .state = state,
+        .order = ReportOrder{.bornMilliseconds = born, .sequence = sequence},
+        .heardAt = start};
+}
+
+std::vector<RegisteredTarget> withoutTimes(std::vector<RegisteredTarget> targets)
+{
+    for (RegisteredTarget &target : targets)
+        target.heardAt = start;
+    return targets;
+}
+
+} // namespace
+
+class TargetRegistryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetRegistryTest);
+    CPPUNIT_TEST(laterReportWins);
+    CPPUNIT_TEST(lateReportOfAnEarlierStartIsIgnored);
+    CPPUNIT_TEST(restartWithTheSameNumberCountsAnew);
+    CPPUNIT_TEST(endIsFinalForItsStart);
+    CPPUNIT_TEST(endOfAnEarlierStartDoesNotEndTheLaterOne);
+    CPPUNIT_TEST(addressOfAnotherTargetEndsTheEarlierOne);
+    CPPUNIT_TEST(delayedReportAfterTheAddressWasReusedIsIgnored);
+    CPPUNIT_TEST(repeatedRecordDoesNotKeepATargetAlive);
+    CPPUNIT_TEST(heartbeatAloneIsNoChange);
+    CPPUNIT_TEST(returnedTargetsAreColdUntilTheirNextHeartbeat);
+    CPPUNIT_TEST(silentTargetIsOverdue);
+    CPPUNIT_TEST(copiesAgreeWhateverTheOrder);
+    CPPUNIT_TEST_SUITE_END();
+
+    TargetRegistry registry{RegistrySettings{}};
+
+    RegisteredState stateOf(std::uint64_t number) const
+    {
+        auto const found = this->registry.find(TargetNumber{number});
+        CPPUNIT_ASSERT(found.has_value());
+        return found->state;
+    }
+
+    void laterReportWins()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        this->registry.merge(targetAt(1, 100, 7, RegisteredState::Draining), start);
+        CPPUNIT_ASSERT(this->registry.merge(targetAt(1, 100, 6), start) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Draining);
+    }
+
+    // Guards against a heartbeat that a partition delayed until the target had started again.
+    void lateReportOfAnEarlierStartIsIgnored()
+    {
+        this->registry.merge(targetAt(1, 200, 1), start);
+        CPPUNIT_ASSERT(this->registry.merge(targetAt(1, 100, 900, RegisteredState::Draining), start)
+                       == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Ready);
+    }
+
+    void restartWithTheSameNumberCountsAnew()
+    {
+        this->registry.merge(targetAt(1, 100, 900, RegisteredState::Draining), start);
+        CPPUNIT_ASSERT(this->registry.merge(targetAt(1, 200, 1), start) == MergeOutcome::Changed);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Ready);
+    }
+
+    void endIsFinalForItsStart()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        CPPUNIT_ASSERT(this->registry.markGone(TargetNumber{1}, 100, start) == MergeOutcome::Changed);
+        this->registry.merge(targetAt(1, 100, 9), start);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Gone);
+        this->registry.merge(targetAt(1, 101, 1), start);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Ready);
+    }
+
+    void endOfAnEarlierStartDoesNotEndTheLaterOne()
+    {
+        this->registry.merge(targetAt(1, 200, 5), start);
+        this->registry.markGone(TargetNumber{1}, 100, start);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Ready);
+    }
+
+    // Guards against packets to a target whose address another service has taken over.
+    void addressOfAnotherTargetEndsTheEarlierOne()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        RegisteredTarget successor = targetAt(2, 200, 1);
+        successor.endpoint = targetAt(1, 100, 5).endpoint;
+        this->registry.merge(successor, start);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Gone);
+        CPPUNIT_ASSERT(this->stateOf(2) == RegisteredState::Ready);
+    }
+
+    void delayedReportAfterTheAddressWasReusedIsIgnored()
+    {
+        RegisteredTarget successor = targetAt(2, 200, 1);
+        successor.endpoint = targetAt(1, 100, 5).endpoint;
+        this->registry.merge(successor, start);
+        CPPUNIT_ASSERT(this->registry.merge(targetAt(1, 100, 5), start) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(!this->registry.find(TargetNumber{1}).has_value());
+    }
+
+    // Guards against records that instances pass around and that seem younger each time by their transit.
+    void repeatedRecordDoesNotKeepATargetAlive()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        RegisteredTarget repeated = targetAt(1, 100, 5);
+        repeated.heardAt = start + 5s;
+        CPPUNIT_ASSERT(this->registry.merge(repeated, start + 5s) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(this->registry.find(TargetNumber{1})->heardAt == start);
+    }
+
+    void heartbeatAloneIsNoChange()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        std::uint64_t const before = this->registry.changeGeneration();
+        CPPUNIT_ASSERT(this->registry.merge(targetAt(1, 100, 6), start + 1s) == MergeOutcome::Heard);
+        CPPUNIT_ASSERT_EQUAL(before, this->registry.changeGeneration());
+        CPPUNIT_ASSERT(this->registry.changedAfter(before).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->registry.heardAfter(before).size());
+    }
+
+    void returnedTargetsAreColdUntilTheirNextHeartbeat()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        this->registry.treatAsCold("dar-b", start + 4s);
+        CPPUNIT_ASSERT(!this->registry.find(TargetNumber{1})->isColdAt(start));
+        this->registry.treatAsCold("dar-a", start + 4s);
+        CPPUNIT_ASSERT(this->registry.find(TargetNumber{1})->isColdAt(start + 3s));
+        this->registry.merge(targetAt(1, 100, 6), start + 1s);
+        CPPUNIT_ASSERT(!this->registry.find(TargetNumber{1})->isColdAt(start + 1s));
+    }
+
+    void silentTargetIsOverdue()
+    {
+        this->registry.merge(targetAt(1, 100, 5), start);
+        RegisteredTarget const target = *this->registry.find(TargetNumber{1});
+        RegistrySettings const settings;
+        Duration const limit =
+            settings.missedHeartbeats * settings.heartbeatInterval + settings.heartbeatMargin;
+        CPPUNIT_ASSERT(!this->registry.isOverdue(target, start + limit));
+        CPPUNIT_ASSERT(this->registry.isOverdue(target, start + limit + 1ms));
+    }
+
+    // Copies of the registry that get the same records in any order, some twice, end with the same contents.
+    void copiesAgreeWhateverTheOrder()
+    {
+        bool const holds = rc::check([] {
+            std::vector<RegisteredTarget> reports;
+            auto const count = *rc::gen::inRange<std::size_t>(1, 12);
+            for (std::size_t index = 0; index < count; ++index) {
+                auto const number = *rc::gen::inRange<std::uint64_t>(1, 4);
+                auto const born = *rc::gen::inRange<std::int64_t>(1, 4);
+                auto const sequence = *rc::gen::inRange<std::uint64_t>(1, 5);
+                // A target says one thing under one order.
+                bool const isDraining = (number + static_cast<std::uint64_t>(born) + sequence) % 3 == 0;
+                reports.push_back(targetAt(number, born, sequence,
+                                           isDraining ? RegisteredState::Draining : RegisteredState::Ready));
+            }
+            TargetRegistry first{RegistrySettings{}};
+            TargetRegistry second{RegistrySettings{}};
+            for (RegisteredTarget const &report : reports)
+                first.merge(report, start);
+            std::ranges::reverse(reports);
+            for (RegisteredTarget const &report : reports)
+                second.merge(report, start);
+            RC_ASSERT(withoutTimes(first.all()) == withoutTimes(second.all()));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetRegistryTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/LibReplication/OpenAdmissionTest.cpp
@@ -0,0 +1,112 @@
+// Tests of a log that admits every instance that asks, so that replaced machines need no settings.
+
+#include "ReplicationCluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace almondwing {
+
+namespace {
+
+ReplicationSettings openSettings()
+{
+    ReplicationSettings settings = ReplicationCluster::testSettings();
+    settings.admission = VoterAdmission::AnyInstance;
+    settings.heartbeatInterval = 100ms;
+    settings.shortestElectionTimeout = 400ms;
+    settings.longestElectionTimeout = 800ms;
+    settings.joinInterval = 250ms;
+    return settings;
+}
+
+bool isVoter(ReplicationCluster const &cluster, std::size_t index)
+{
+    auto const leader = cluster.leader();
+    if (!leader)
+        return false;
+    auto const &voters = cluster.nodes[*leader].status.committedVoters;
+    return std::ranges::find(voters, cluster.nodes[index].instance, &Replica::instance) != voters.end();
+}
+
+} // namespace
+
+class OpenAdmissionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OpenAdmissionTest);
+    CPPUNIT_TEST(instanceThatNoSettingsNameBecomesAVoter);
+    CPPUNIT_TEST(replacementTakesThePlaceOfAnInstanceThatIsGone);
+    CPPUNIT_TEST(silentVoterIsRemovedAndComesBack);
+    CPPUNIT_TEST(threeVotersStayAlthoughOneIsSilent);
+    CPPUNIT_TEST(everyMachineIsReplacedInTurn);
+    CPPUNIT_TEST_SUITE_END();
+
+    void instanceThatNoSettingsNameBecomesAVoter()
+    {
+        ReplicationCluster cluster(3, 1, openSettings());
+        std::size_t const fourth = cluster.addNode();
+        CPPUNIT_ASSERT(cluster.waitUntil([&] { return isVoter(cluster, fourth); }));
+        CPPUNIT_ASSERT(cluster.commitOne());
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+
+    // Guards against a second loss that stops the log because the first one still counts as a voter.
+    void replacementTakesThePlaceOfAnInstanceThatIsGone()
+    {
+        ReplicationCluster cluster(3, 2, openSettings());
+        cluster.waitForLeader();
+        cluster.stop(2);
+        std::size_t const replacement = cluster.addNode();
+        CPPUNIT_ASSERT(
+            cluster.waitUntil([&] { return isVoter(cluster, replacement) && !isVoter(cluster, 2); }));
+        cluster.stop(1);
+        CPPUNIT_ASSERT(cluster.commitOne());
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+
+    void silentVoterIsRemovedAndComesBack()
+    {
+        ReplicationCluster cluster(4, 3, openSettings());
+        cluster.waitForLeader();
+        cluster.run(2s);
+        std::size_t const leader = *cluster.leader();
+        std::size_t const silent = (leader + 1) % 4;
+        cluster.nodes[silent].island = 1;
+        CPPUNIT_ASSERT(cluster.waitUntil([&] { return !isVoter(cluster, silent); }));
+        CPPUNIT_ASSERT(cluster.commitOne());
+        cluster.heal();
+        CPPUNIT_ASSERT(cluster.waitUntil([&] { return isVoter(cluster, silent); }));
+        CPPUNIT_ASSERT(cluster.commitOne());
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+
+    void threeVotersStayAlthoughOneIsSilent()
+    {
+        ReplicationCluster cluster(3, 4, openSettings());
+        cluster.waitForLeader();
+        std::size_t const silent = (*cluster.leader() + 1) % 3;
+        cluster.stop(silent);
+        cluster.run(20s);
+        CPPUNIT_ASSERT(isVoter(cluster, silent));
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+
+    void everyMachineIsReplacedInTurn()
+    {
+        ReplicationCluster cluster(3, 5, openSettings());
+        for (std::size_t gone = 0; gone < 3; ++gone) {
+            CPPUNIT_ASSERT(cluster.commitOne());
+            cluster.stop(gone);
+            std::size_t const replacement = cluster.addNode();
+            CPPUNIT_ASSERT(cluster.waitUntil([&] { return isVoter(cluster, replacement); }));
+            cluster.run(4s);
+        }
+        CPPUNIT_ASSERT(cluster.commitOne());
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OpenAdmissionTest);
+
+} // namespace almondwing
--- a/Tests/LibReplication/ReplicationCluster.cpp
+++ b/Tests/LibReplication/ReplicationCluster.cpp
@@ -2,6 +2,8 @@
 
 #include "ReplicationCluster.h"
 
+#include <LibCore/Verify.h>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,6 +15,7 @@
 
 constexpr Duration step = 20ms;
 constexpr Duration longestWait = 120s;
+constexpr std::size_t mostAddedNodes = 4;
 
 std::string joinLines(std::vector<std::string> const &lines)
 {
@@ -47,6 +50,7 @@
 ReplicationCluster::ReplicationCluster(std::size_t size, std::uint64_t seed, ReplicationSettings newSettings)
     : settings(std::move(newSettings)), random(seed)
 {
+    this->nodes.reserve(size + mostAddedNodes); // Hooks refer to the nodes.
     this->nodes.resize(size);
     for (std::size_t index = 0; index < size; ++index) {
         this->nodes[index].instance = fmt::format("control-{}", index);
@@ -56,6 +60,16 @@
         this->start(index);
 }
 
+std::size_t ReplicationCluster::addNode()
+{
+    VERIFY(this->nodes.size() < this->nodes.capacity());
+    std::size_t const index = this->nodes.size();
+    this->nodes.emplace_back();
+    this->nodes[index].instance = fmt::format("control-{}", index);
+    this->start(index);
+    return index;
+}
+
 void ReplicationCluster::require(bool condition, std::string const &violation)
 {
     if (!condition)
@@ -93,6 +107,13 @@
                 this->require(node.commands.size() >= read.mapped(),
                               "a confirmed read misses an acknowledged change");
             },
+        .knownInstances =
+            [this] {
+                std::vector<std::string> names;
+                for (Node const &known : this->nodes)
+                    names.push_back(known.instance);
+                return names;
+            },
         .mayBootstrap = [this] { return this->bootstrapPermission; },
         .random = [this] { return this->random(); },
         .report = [&node](Event event, std::string const &) { node.events.push_back(event); }};
--- a/Tests/LibReplication/ReplicationCluster.h
+++ b/Tests/LibReplication/ReplicationCluster.h
@@ -48,6 +48,9 @@
 
     static ReplicationSettings testSettings();
 
+    // A further instance that the settings do not name. Call it before the first run.
+    std::size_t addNode();
+
     void run(Duration duration);
     void start(std::size_t index);
     void stop(std::size_t index); // The process ends; the disk keeps what was written.
--- /dev/null
+++ b/Tests/LibTokenRouting/FlowPlacementTest.cpp
@@ -0,0 +1,172 @@
+// Tests of the choice of a target for a new flow, each with the load that it answers.
+
+#include "TokenFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+namespace almondwing {
+
+class FlowPlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FlowPlacementTest);
+    CPPUNIT_TEST(burstSpreadsEvenlyOverSlots);
+    CPPUNIT_TEST(ownFailureDomainGoesFirst);
+    CPPUNIT_TEST(fullFailureDomainSpills);
+    CPPUNIT_TEST(flowsOfOtherInstancesCount);
+    CPPUNIT_TEST(coldTargetGetsNothingWhileAWarmOneCanTakeIt);
+    CPPUNIT_TEST(coldTargetGetsFlowsOnlyFromPermittedInstances);
+    CPPUNIT_TEST(permitEnds);
+    CPPUNIT_TEST(suspectsAreAvoidedUnlessMostAre);
+    CPPUNIT_TEST(targetsWithOneTokenDoNotShareFlows);
+    CPPUNIT_TEST(sweepForgetsIdleFlows);
+    CPPUNIT_TEST_SUITE_END();
+
+    TokenFixture fixture;
+
+    std::map<TargetNumber, int> openMany(int count, int firstPort = 1000)
+    {
+        std::map<TargetNumber, int> counts;
+        for (int index = 0; index < count; ++index)
+            ++counts[this->fixture.targetOf(
+                this->fixture.decide(openPacket(static_cast<std::uint16_t>(firstPort + index))))];
+        return counts;
+    }
+
+    // Callers that all come back at once after an outage.
+    void burstSpreadsEvenlyOverSlots()
+    {
+        RegisteredTarget large = testTarget(1, "dar-a");
+        large.slots = 4;
+        this->fixture.show({large, testTarget(2, "dar-a"), testTarget(3, "dar-a")});
+        auto const counts = this->openMany(80);
+        CPPUNIT_ASSERT_EQUAL(40, counts.at(TargetNumber{1}));
+        CPPUNIT_ASSERT_EQUAL(20, counts.at(TargetNumber{2}));
+        CPPUNIT_ASSERT_EQUAL(20, counts.at(TargetNumber{3}));
+    }
+
+    void ownFailureDomainGoesFirst()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-b")});
+        auto const counts = this->openMany(20);
+        CPPUNIT_ASSERT_EQUAL(20, counts.at(TargetNumber{1}));
+    }
+
+    void fullFailureDomainSpills()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-b")});
+        auto const counts = this->openMany(100);
+        CPPUNIT_ASSERT(counts.at(TargetNumber{2}) >= 30);
+        CPPUNIT_ASSERT(counts.at(TargetNumber{1}) > counts.at(TargetNumber{2}));
+    }
+
+    void flowsOfOtherInstancesCount()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-a")});
+        noteRemoteActivity(this->fixture.board,
+                           {TargetActivity{.token = tokenOf(TargetNumber{1}), .flows = 10}});
+        auto counts = this->openMany(10);
+        CPPUNIT_ASSERT_EQUAL(10, counts.at(TargetNumber{2}));
+        noteRemoteActivity(this->fixture.board, {});
+        counts = this->openMany(4, 2000);
+        CPPUNIT_ASSERT_EQUAL(4, counts.at(TargetNumber{1}));
+    }
+
+    void coldTargetGetsNothingWhileAWarmOneCanTakeIt()
+    {
+        RegisteredTarget cold = testTarget(1, "dar-a");
+        cold.coldUntil = testStart + 2s;
+        this->fixture.show({cold, testTarget(2, "dar-b")});
+        CPPUNIT_ASSERT_EQUAL(20, this->openMany(20).at(TargetNumber{2}));
+        this->fixture.now += 3s;
+        CPPUNIT_ASSERT(this->openMany(1, 2000).contains(TargetNumber{1}));
+    }
+
+    // Guards against a cold target that falls over because each instance by itself keeps the rate.
+    void coldTargetGetsFlowsOnlyFromPermittedInstances()
+    {
+        constexpr std::size_t instances = 6;
+        constexpr std::size_t permits = 4;
+        RegisteredTarget cold = testTarget(1, "dar-a");
+        cold.coldUntil = testStart + 1h;
+        std::vector<std::unique_ptr<TokenFixture>> fixtures;
+        for (std::size_t index = 0; index < instances; ++index) {
+            fixtures.push_back(std::make_unique<TokenFixture>());
+            fixtures.back()->show({cold});
+            if (index < permits)
+                fixtures.back()->router.permitColdFlows(testStart + 1h);
+        }
+        std::vector<Timestamp> opened;
+        for (Duration passed = 0s; passed < 20s; passed += 10ms) {
+            for (std::size_t index = 0; index < instances; ++index) {
+                fixtures[index]->now = testStart + passed;
+                auto const port = static_cast<std::uint16_t>(passed / 10ms + 1);
+                if (fixtures[index]->targetOf(fixtures[index]->decide(openPacket(port))).isNone())
+                    continue;
+                CPPUNIT_ASSERT(index < permits);
+                opened.push_back(fixtures[index]->now);
+            }
+        }
+        CPPUNIT_ASSERT(opened.size() > 20);
+        for (Timestamp const from : opened) {
+            auto const inSecond =
+                std::ranges::count_if(opened, [&](Timestamp at) { return at >= from && at < from + 1s; });
+            CPPUNIT_ASSERT(inSecond <= static_cast<std::ptrdiff_t>(permits));
+        }
+    }
+
+    void permitEnds()
+    {
+        RegisteredTarget cold = testTarget(1, "dar-a");
+        cold.coldUntil = testStart + 1h;
+        this->fixture.show({cold});
+        this->fixture.router.permitColdFlows(testStart + 1s);
+        CPPUNIT_ASSERT(this->openMany(1).contains(TargetNumber{1}));
+        this->fixture.now += 2s;
+        CPPUNIT_ASSERT(!this->openMany(1, 2000).contains(TargetNumber{1}));
+    }
+
+    void suspectsAreAvoidedUnlessMostAre()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-a"), testTarget(3, "dar-a")});
+        suspect(this->fixture.board, tokenOf(TargetNumber{1}), this->fixture.now + 1s);
+        CPPUNIT_ASSERT(!this->openMany(20).contains(TargetNumber{1}));
+        suspect(this->fixture.board, tokenOf(TargetNumber{2}), this->fixture.now + 1s);
+        CPPUNIT_ASSERT(this->openMany(40, 2000).contains(TargetNumber{1}));
+    }
+
+    // Guards against a packet that reaches the wrong one of two targets whose tokens are equal.
+    void targetsWithOneTokenDoNotShareFlows()
+    {
+        std::vector<ViewTarget> targets;
+        RegisteredTarget later = testTarget(1, "dar-a");
+        later.order.bornMilliseconds = 200;
+        later.service = "prints";
+        targets.push_back(ViewTarget{.target = later});
+        targets.push_back(ViewTarget{.target = testTarget(1, "dar-a")});
+        ServingView const view = makeServingView(testConfiguration(), targets, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.targets.size());
+        CPPUNIT_ASSERT(view.targetOf(tokenOf(TargetNumber{1}))->target.service == "orders");
+        CPPUNIT_ASSERT(!view.tokensOfService.contains("prints"));
+    }
+
+    void sweepForgetsIdleFlows()
+    {
+        this->fixture.show({testTarget(1, "dar-a")});
+        this->openMany(10);
+        auto const activity = sweepFlows(this->fixture.board, this->fixture.now);
+        CPPUNIT_ASSERT(activity
+                       == (std::vector{TargetActivity{.token = tokenOf(TargetNumber{1}), .flows = 10}}));
+        CPPUNIT_ASSERT(sweepFlows(this->fixture.board, this->fixture.now + 5s).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, this->fixture.board.flows.size());
+        sweepFlows(this->fixture.board, this->fixture.now + 16s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->fixture.board.flows.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlowPlacementTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/PlatformAdapter/ControlCallsTest.cpp
@@ -0,0 +1,109 @@
+// Tests of decoding the platform's calls.
+
+#include <PlatformAdapter/ControlCalls.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace almondwing {
+
+namespace {
+
+HttpRequest post(std::string const &path, std::string const &body = "")
+{
+    return HttpRequest{.method = HttpMethod::Post, .path = path, .body = body};
+}
+
+std::string const heartbeat =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"dar-a","version":"v1","concurrency":2,)"
+    R"("state":"ready","warmup_left_ms":1500,"sequence":4,"born":1796379918051})";
+
+std::string replaced(std::string const &from, std::string const &to)
+{
+    std::string text = heartbeat;
+    std::size_t const at = text.find(from);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+class ControlCallsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlCallsTest);
+    CPPUNIT_TEST(heartbeatIsRead);
+    CPPUNIT_TEST(badHeartbeatsNameNoTarget);
+    CPPUNIT_TEST(leaveIsRead);
+    CPPUNIT_TEST(changesAreRead);
+    CPPUNIT_TEST(otherCallsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static bool isInvalid(HttpRequest const &request)
+    {
+        return std::holds_alternative<InvalidCall>(decodeControlCall(request));
+    }
+
+    void heartbeatIsRead()
+    {
+        auto const call = decodeControlCall(post("/Instances.Heartbeat/i-7f3a91c2aa", heartbeat));
+        CPPUNIT_ASSERT(
+            call
+            == ControlCall(HeartbeatCall{
+                .target =
+                    RegisteredTarget{.number = TargetNumber{0x7f3a91c2aa},
+                                     .service = "huvo11a",
+                                     .failureDomain = "dar-a",
+                                     .endpoint = Endpoint{.address = 0x0a800009, .port = 8080},
+                                     .slots = 2,
+                                     .order = ReportOrder{.bornMilliseconds = 1796379918051, .sequence = 4}},
+                .coldFor = 1500ms}));
+    }
+
+    void badHeartbeatsNameNoTarget()
+    {
+        for (std::string const &body :
+             {replaced("\"ready\"", "\"asleep\""), replaced("\"sequence\":4", "\"sequence\":\"4\""),
+              replaced("\"sequence\":4,", ""), replaced("\"concurrency\":2", "\"concurrency\":-2"),
+              replaced("10.128.0.9:8080", "10.128.0.9"), replaced("\"service\":\"huvo11a\",", ""),
+              replaced("\"service\":\"huvo11a\"", "\"service\":7"), replaced("\"zone\":\"dar-a\",", ""),
+              replaced("1796379918051", "\"long ago\""), replaced("1796379918051", "1.5"),
+              heartbeat.substr(0, 60), std::string("\xff\xfe"), std::string("[]")})
+            CPPUNIT_ASSERT_MESSAGE(body, isInvalid(post("/Instances.Heartbeat/i-7f3a91c2aa", body)));
+        CPPUNIT_ASSERT(isInvalid(post("/Instances.Heartbeat/i-xyz", heartbeat)));
+        CPPUNIT_ASSERT(isInvalid(post("/Instances.Heartbeat/", heartbeat)));
+    }
+
+    void leaveIsRead()
+    {
+        CPPUNIT_ASSERT(decodeControlCall(post("/Instances.Deregister/i-7f3a91c2aa", ""))
+                       == ControlCall(LeaveCall{.target = TargetNumber{0x7f3a91c2aa}}));
+        CPPUNIT_ASSERT(
+            decodeControlCall(post("/Instances.Deregister/i-7f3a91c2aa", R"({"born":5})"))
+            == ControlCall(LeaveCall{.target = TargetNumber{0x7f3a91c2aa}, .bornMilliseconds = 5}));
+        CPPUNIT_ASSERT(isInvalid(post("/Instances.Deregister/i-7f3a91c2aa", R"({"born":"x"})")));
+    }
+
+    void changesAreRead()
+    {
+        CPPUNIT_ASSERT(decodeControlCall(post("/Evacuation.Begin/dar-a"))
+                       == ControlCall(ChangeCall{TakeOutDomain{"dar-a"}}));
+        CPPUNIT_ASSERT(decodeControlCall(post("/Evacuation.Terminate/dar-a"))
+                       == ControlCall(ChangeCall{BringBackDomain{"dar-a"}}));
+        std::string const document = R"({"version":3,"routes":[],"services":[]})";
+        CPPUNIT_ASSERT(decodeControlCall(post("/Configuration.Replace", document))
+                       == ControlCall(ChangeCall{ReplaceDocument{.version = 3, .text = document}}));
+        CPPUNIT_ASSERT(isInvalid(post("/Configuration.Replace", document.substr(1))));
+    }
+
+    void otherCallsAreRefused()
+    {
+        CPPUNIT_ASSERT(isInvalid(post("/elsewhere")));
+        CPPUNIT_ASSERT(isInvalid(HttpRequest{.method = HttpMethod::Get, .path = "/Configuration.Replace"}));
+        CPPUNIT_ASSERT(
+            decodeControlCall(HttpRequest{.method = HttpMethod::Get, .path = "/Configuration.Read"})
+            == ControlCall(ReadCall{}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlCallsTest);
+
+} // namespace almondwing
--- /dev/null
+++ b/Tests/PlatformAdapter/RouteDocumentTest.cpp
@@ -0,0 +1,79 @@
+// Tests of reading the operator's configuration, with each way in which it can be invalid.
+
+#include <PlatformAdapter/RouteDocument.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace almondwing {
+
+namespace {
+
+std::string const valid =
+    R"({"version":7,"routes":[{"name":"r1","host":"198.18.0.1","path_prefix":"/8443/","type":"safe",)"
+    R"("timeout_ms":1000,"priority":2,"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}],)"
+    R"("max_attempts":2},{"name":"r2","host":"198.18.0.2","path_prefix":"/8443/","type":"download",)"
+    R"("timeout_ms":5000,"service":"b"}],"services":[{"name":"a","warmup_s":2.0},{"name":"b","warmup_s":1.5}],)"
+    R"("limits":{"idle_timeout_ms":12000}})";
+
+std::string replaced(std::string const &from, std::string const &to)
+{
+    std::string text = valid;
+    std::size_t const at = text.find(from);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+class RouteDocumentTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteDocumentTest);
+    CPPUNIT_TEST(validDocumentIsRead);
+    CPPUNIT_TEST(invalidDocumentsAreRefused);
+    CPPUNIT_TEST(cutDocumentsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    void validDocumentIsRead()
+    {
+        auto const configuration = parseRouteDocument(valid);
+        CPPUNIT_ASSERT(configuration.ok());
+        CPPUNIT_ASSERT(
+            *configuration
+            == (FlowConfiguration{
+                .version = 7,
+                .routes = {FlowRoute{.endpoint = Endpoint{.address = 0xc6120001, .port = 8443},
+                                     .services = {WeightedService{"a", 90}, WeightedService{"b", 10}}},
+                           FlowRoute{.endpoint = Endpoint{.address = 0xc6120002, .port = 8443},
+                                     .services = {WeightedService{"b", 1}}}},
+                .idleTimeout = 12s,
+                .coldPhase = 2s}));
+    }
+
+    void invalidDocumentsAreRefused()
+    {
+        for (std::string const &text :
+             {replaced("\"version\":7", "\"version\":0"), replaced("\"version\":7", "\"version\":\"7\""),
+              replaced("\"version\":7,", ""), replaced("\"timeout_ms\":1000", "\"timeout_ms\":0"),
+              replaced("\"timeout_ms\":1000,", ""), replaced(",\"weight\":90", ""),
+              replaced("\"weight\":90", "\"weight\":-1"), replaced("\"service\":\"a\"", "\"service\":\"c\""),
+              replaced("\"service\":\"b\"}],\"services\"", "\"service\":\"c\"}],\"services\""),
+              replaced("198.18.0.2", "198.18.0.1"), replaced("198.18.0.2", "somewhere"),
+              replaced("/8443/", "8443"), replaced("/8443/", "//"), replaced("\"routes\":[", "\"other\":["),
+              std::string("[]"), std::string()})
+            CPPUNIT_ASSERT_MESSAGE(text, !parseRouteDocument(text).ok());
+    }
+
+    void cutDocumentsAreRefused()
+    {
+        bool const holds = rc::check([] {
+            auto const length = *rc::gen::inRange<std::size_t>(0, valid.size());
+            RC_ASSERT(!parseRouteDocument(valid.substr(0, length)).ok());
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteDocumentTest);
+
+} // namespace almondwing
