Nodes: Know targets at once after a start, and find a control instance within 150 ms

Change: a limit of 150 ms for opening kept connections between instances; the registry is kept on the control disks when it changes and merged at the start as heard now, with the order of reports unchanged.

Ruled out: the election, 0.6 s; entries do not wait for it.

--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -63,6 +63,7 @@
     AnnouncementRejected = 1408,
     TargetSuspected = 1409,
     TargetRefuses = 1410,
+    RegistryNotStored = 1411,
     FlowPlaced = 1500,
     FlowReset = 1501,
     PacketDropped = 1502,
--- a/Libraries/LibFrontEnd/HttpClient.h
+++ b/Libraries/LibFrontEnd/HttpClient.h
@@ -21,6 +21,8 @@
     std::string body;
     std::string bearerToken;
     Duration timeout = 5s; // For the whole call.
+    // For opening the connection, of a kept one only; it is part of the timeout.
+    Duration connectTimeout = 5s;
 
     friend bool operator==(HttpCall const &, HttpCall const &) = default;
 };
--- a/Libraries/LibFrontEnd/HttpLink.cpp
+++ b/Libraries/LibFrontEnd/HttpLink.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <optional>
@@ -57,7 +58,8 @@
             return;
         }
         this->stream.emplace(this->strand);
-        this->stream->expires_after(this->calls.front().call.timeout);
+        HttpCall const &call = this->calls.front().call;
+        this->stream->expires_after(std::min(call.connectTimeout, call.timeout));
         this->stream->async_connect(
             toAsio<tcp>(this->server),
             [self = this->shared_from_this()](beast::error_code error) { self->noteConnected(error); });
@@ -71,6 +73,7 @@
         }
         beast::error_code ignored;
         this->stream->socket().set_option(tcp::no_delay(true), ignored);
+        this->stream->expires_after(this->calls.front().call.timeout);
         this->write();
     }
 
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -106,6 +106,8 @@
                            .startedAt = IoRuntime::now(),
                            .coldPermits = coldPermits(this->settings)},
         *this->log, this->registry, this->directory, this->activity);
+    this->store = std::make_unique<RegistryStore>(this->runtime, *this->settings.dataFolder + "/registry",
+                                                  this->registry, this->report);
     this->learnSeeds(this->settings.seeds);
 }
 
@@ -122,6 +124,7 @@
 void ControlServer::start()
 {
     this->log->start();
+    this->store->load([this] { this->views->answerDue(IoRuntime::now()); });
     this->runtime.runEvery(tickInterval, [this] { this->tick(); });
 }
 
@@ -146,6 +149,7 @@
     this->directory.forgetSilent(now - peerRetention, keep);
     this->registry.forgetOld(now);
     this->spreader->spread(now);
+    this->store->saveIfDue(now);
     this->views->answerDue(now);
 }
 
@@ -181,7 +185,8 @@
                         .method = HttpMethod::Post,
                         .target = std::string(replicationPath),
                         .body = encodeReplicaEnvelope(clusterName, envelope),
-                        .timeout = replicationTimeout};
+                        .timeout = replicationTimeout,
+                        .connectTimeout = nodeConnectTimeout};
     // The log repeats what is lost, so the result of the call does not matter.
     link->call(call, [](absl::StatusOr<HttpResponse> const &) {});
 }
--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -7,6 +7,7 @@
 #include <LibFrontEnd/HttpServer.h>
 #include <LibNode/DocumentLog.h>
 #include <LibNode/RegistrySpreader.h>
+#include <LibNode/RegistryStore.h>
 #include <LibNode/ViewServer.h>
 #include <LibSettings/NodeSettings.h>
 
@@ -104,6 +105,7 @@
     ActivityBoard activity;
     std::unique_ptr<DocumentLog> log;
     std::unique_ptr<RegistrySpreader> spreader;
+    std::unique_ptr<RegistryStore> store;
     std::unique_ptr<ViewServer> views;
     std::shared_ptr<HttpServer> http;
     std::atomic<bool> isStopping{false};
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -18,6 +18,10 @@
 
 namespace almondwing {
 
+// A machine that is down or cut off does not answer an attempt to connect. Links between failure domains of
+// one region take 0.5 ms, and between regions tens of milliseconds.
+constexpr Duration nodeConnectTimeout = 150ms;
+
 constexpr std::string_view viewPath = "/v1/view";
 constexpr std::string_view registryPath = "/v1/registry";
 constexpr std::string_view replicationPath = "/v1/replication";
--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -95,7 +95,8 @@
                         .method = HttpMethod::Post,
                         .target = std::string(registryPath),
                         .body = formatRegistryExchange(exchange, now),
-                        .timeout = this->settings.callTimeout};
+                        .timeout = this->settings.callTimeout,
+                        .connectTimeout = nodeConnectTimeout};
     link->link.call(
         call,
         [this, link, endpoint = peer.endpoint, upTo, isRound](absl::StatusOr<HttpResponse> const &response) {
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -104,7 +104,8 @@
                         .method = HttpMethod::Post,
                         .target = std::string(viewPath),
                         .body = formatViewRequest(request),
-                        .timeout = requestTimeout};
+                        .timeout = requestTimeout,
+                        .connectTimeout = nodeConnectTimeout};
     this->source->link->call(call,
                              [this, link = this->source->link](absl::StatusOr<HttpResponse> const &response) {
                                  this->queue.post([this, response] { this->handleReply(response); });
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -109,22 +109,14 @@
         std::vector<std::unique_ptr<EntryNode>> entries;
     };
 
-    static Endpoint freeUdpEndpoint(IoRuntime &runtime)
-    {
-        auto const socket = UdpSocket::open(runtime, anyLoopbackPort);
-        CPPUNIT_ASSERT(socket.ok());
-        return (*socket)->localEndpoint();
-    }
-
     void packetsReachTheTargetAlsoThroughANewEntry()
     {
         Path path;
-        IoRuntime &runtime = path.fixture.running.runtime;
         std::uint32_t const token = tokenOf(TargetNumber{7}).value;
-        Endpoint const first = freeUdpEndpoint(runtime);
+        Endpoint const first = freeEndpointOf<boost::asio::ip::udp>();
         path.startEntry(first, freeEndpoint());
         path.requireDelivered(first, "open 1 0", fmt::format("7:{}:open 1 0", token));
-        Endpoint const second = freeUdpEndpoint(runtime);
+        Endpoint const second = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode const &other = path.startEntry(second, freeEndpoint());
         std::string const data = fmt::format("data 1 {}", token);
         path.requireDelivered(second, data, fmt::format("7:{}:{}", token, data));
@@ -134,8 +126,7 @@
     void stoppingEntryIsNotReadyAndGoesOnForwarding()
     {
         Path path;
-        IoRuntime &runtime = path.fixture.running.runtime;
-        Endpoint const packets = freeUdpEndpoint(runtime);
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode &entry = path.startEntry(packets, freeEndpoint());
         entry.beginStop();
         CPPUNIT_ASSERT(!entry.isReady());
@@ -146,8 +137,7 @@
     void undecodableDatagramsAreCounted()
     {
         Path path;
-        IoRuntime &runtime = path.fixture.running.runtime;
-        Endpoint const packets = freeUdpEndpoint(runtime);
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode &entry = path.startEntry(packets, freeEndpoint());
         NodeFixture::waitUntil("it is counted", [&] {
             path.target->send(packets, "nonsense");
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -14,6 +14,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -45,13 +48,31 @@
     std::string path;
 };
 
-// A port that is free now; the kernel does not hand it out again soon.
+// A loopback port that is free for the protocol. It is taken from below the range that the kernel hands out
+// by itself, so that no connection takes it before the test does; each process begins elsewhere.
+template<typename Protocol>
+Endpoint freeEndpointOf()
+{
+    constexpr unsigned firstPort = 10000;
+    constexpr unsigned portCount = 20000;
+    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * 131};
+    for (unsigned attempt = 0; attempt < portCount; ++attempt) {
+        Endpoint const endpoint{.address = anyLoopbackPort.address,
+                                .port = static_cast<std::uint16_t>(firstPort + next++ % portCount)};
+        boost::asio::io_context context;
+        typename Protocol::socket socket(context, Protocol::v4());
+        boost::system::error_code error;
+        socket.bind(toAsio<Protocol>(endpoint), error);
+        if (!error)
+            return endpoint;
+    }
+    CPPUNIT_FAIL("no free port");
+    return {};
+}
+
 inline Endpoint freeEndpoint()
 {
-    using boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    tcp::acceptor const acceptor(context, toAsio<tcp>(anyLoopbackPort));
-    return fromAsio(acceptor.local_endpoint());
+    return freeEndpointOf<boost::asio::ip::tcp>();
 }
 
 // The front end of the tests: "version address service" is a configuration, and paths name the other calls.
