Logs: Write a structured line for each decision, and serve metrics of a node

Lines carry the caller, the view's revision and age, the choice and its reason; changes, drains, lost and regained contact have lines of their own. Counters and latency histograms are served in the Prometheus text format.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -74,9 +74,16 @@
     EventDescription{Event::ConfigurationRefused, Severity::Error, "ConfigurationRefused",
                      "A peer offered a configuration that breaks a rule or contradicts the version in force.",
                      "Check that all control instances belong to the same cluster and share one log."},
+    EventDescription{Event::ChangeAnswered, Severity::Information, "ChangeAnswered",
+                     "A change or read of an operator was answered; the status says how.",
+                     "Look at the reason if the status is not 200."},
     EventDescription{Event::ViewSourceLost, Severity::Warning, "ViewSourceLost",
                      "An entry no longer follows a control instance and asks another one.",
                      "Look at the control instance and the network to it if it repeats."},
+    EventDescription{Event::ViewChanged, Severity::Information, "ViewChanged",
+                     "An entry routes by a newer view.", "None."},
+    EventDescription{Event::ViewSourceFollowed, Severity::Information, "ViewSourceFollowed",
+                     "An entry follows a control instance.", "None."},
     EventDescription{
         Event::RecordQuorumMissing, Severity::Warning, "RecordQuorumMissing",
         "A non-idempotent request was refused because fewer than two instances stored its record.",
@@ -124,6 +131,9 @@
                      "There was no sign of a majority of the control instances for 4 s; targets of other "
                      "failure domains get nothing.",
                      "Look at the control instances and the network between failure domains."},
+    EventDescription{Event::MajorityContactRegained, Severity::Information, "MajorityContactRegained",
+                     "A control instance is in contact with a majority of the configuration log again.",
+                     "None."},
     EventDescription{Event::TargetAnnounced, Severity::Information, "TargetAnnounced",
                      "A target has announced itself for the first time, or again after a restart.", "None."},
     EventDescription{Event::TargetTakenOver, Severity::Information, "TargetTakenOver",
@@ -156,6 +166,9 @@
     EventDescription{Event::RegistryNotStored, Severity::Warning, "RegistryNotStored",
                      "The copy of the registry of targets could not be read or written.",
                      "Look at the disk; until then a start waits for the heartbeats of the targets."},
+    EventDescription{Event::EndAnswered, Severity::Information, "EndAnswered",
+                     "The drain or end of a target was answered, after the control instances were told.",
+                     "Look at the links between control instances if it was not acknowledged."},
     EventDescription{Event::FlowPlaced, Severity::Information, "FlowPlaced",
                      "The opening packet of a flow was sent to a target.", "None."},
     EventDescription{Event::FlowReset, Severity::Information, "FlowReset",
@@ -164,6 +177,11 @@
     EventDescription{Event::PacketDropped, Severity::Warning, "PacketDropped",
                      "A packet of a caller was not forwarded; the reason says why.",
                      "Look at the reason if the count keeps growing."},
+    EventDescription{Event::PacketHeld, Severity::Information, "PacketHeld",
+                     "A packet waits for the view, because its target or the configuration is not known yet.",
+                     "Look at the control instances if the count keeps growing."},
+    EventDescription{Event::FlowEstablished, Severity::Information, "FlowEstablished",
+                     "The first packet after the opening one of a flow was forwarded.", "None."},
 };
 
 } // namespace
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -36,7 +36,10 @@
     DuplicateInstance = 1214,
     ConfigurationInForce = 1250,
     ConfigurationRefused = 1251,
+    ChangeAnswered = 1252,
     ViewSourceLost = 1270,
+    ViewChanged = 1271,
+    ViewSourceFollowed = 1272,
     RecordQuorumMissing = 1300,
     TryOverdue = 1301,
     SlotConfirmationMissing = 1302,
@@ -52,6 +55,7 @@
     MemberAlive = 1355,
     LeaseExpired = 1356,
     MajorityContactLost = 1357,
+    MajorityContactRegained = 1358,
     TargetAnnounced = 1400,
     TargetTakenOver = 1401,
     TargetUnhealthy = 1402,
@@ -64,9 +68,12 @@
     TargetSuspected = 1409,
     TargetUnreachable = 1410,
     RegistryNotStored = 1411,
+    EndAnswered = 1412,
     FlowPlaced = 1500,
     FlowReset = 1501,
     PacketDropped = 1502,
+    PacketHeld = 1503,
+    FlowEstablished = 1504,
 };
 
 struct EventDescription
--- /dev/null
+++ b/Libraries/LibFrontEnd/LineQueue.cpp
@@ -0,0 +1,105 @@
+// Implements writing lines on a thread of its own.
+
+#include <LibFrontEnd/LineQueue.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <climits>
+#include <utility>
+
+namespace almondwing {
+
+namespace {
+
+// Lines of this span go out together; each write costs a system call.
+constexpr std::chrono::milliseconds batchTime{50};
+
+// The output is looked at again after this time, to see a stop.
+constexpr int pollMilliseconds = 100;
+
+} // namespace
+
+LineQueue::LineQueue(int outputDescriptor, LineQueueLimits queueLimits)
+    : descriptor(outputDescriptor), limits(queueLimits), thread([this] { this->run(); })
+{
+}
+
+LineQueue::~LineQueue()
+{
+    {
+        std::scoped_lock const lock(this->mutex);
+        this->isStopping = true;
+    }
+    this->wake.notify_all();
+}
+
+bool LineQueue::add(std::string line)
+{
+    line.push_back('\n');
+    {
+        std::scoped_lock const lock(this->mutex);
+        if (this->lines.size() >= this->limits.lines) {
+            ++this->lost;
+            return false;
+        }
+        this->lines.push_back(std::move(line));
+        if (this->lines.size() > 1)
+            return true;
+    }
+    this->wake.notify_all();
+    return true;
+}
+
+std::uint64_t LineQueue::lostLines() const
+{
+    std::scoped_lock const lock(this->mutex);
+    return this->lost;
+}
+
+void LineQueue::run()
+{
+    for (;;) {
+        std::deque<std::string> batch;
+        {
+            std::unique_lock lock(this->mutex);
+            this->wake.wait(lock, [this] { return this->isStopping || !this->lines.empty(); });
+            this->wake.wait_for(lock, batchTime, [this] { return this->isStopping; });
+            batch.swap(this->lines);
+            if (batch.empty() && this->isStopping)
+                return;
+        }
+        std::string text;
+        for (std::string const &line : batch)
+            text += line;
+        if (this->write(text) == WriteOutcome::Blocked)
+            return;
+    }
+}
+
+// Pieces of at most PIPE_BUF bytes do not block once the output is ready. Gives up only during a stop.
+LineQueue::WriteOutcome LineQueue::write(std::string const &text)
+{
+    for (std::size_t done = 0; done < text.size();) {
+        ::pollfd waiting{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
+        if (::poll(&waiting, 1, pollMilliseconds) > 0) {
+            auto const written = ::write(this->descriptor, text.data() + done,
+                                         std::min<std::size_t>(PIPE_BUF, text.size() - done));
+            if (written > 0) {
+                done += static_cast<std::size_t>(written);
+                continue;
+            }
+            // A reader that is gone does not come back.
+            if (written < 0)
+                return WriteOutcome::Blocked;
+        }
+        std::scoped_lock const lock(this->mutex);
+        if (this->isStopping)
+            return WriteOutcome::Blocked;
+    }
+    return WriteOutcome::Written;
+}
+
+} // namespace almondwing
--- a/Libraries/LibFrontEnd/Metrics.h
+++ b/Libraries/LibFrontEnd/Metrics.h
@@ -2,6 +2,10 @@
 
 #pragma once
 
+#include <LibCore/Time.h>
+
+#include <array>
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +28,24 @@
     friend bool operator==(MetricSample const &, MetricSample const &) = default;
 };
 
+// Counts durations in fixed buckets; any thread may observe.
+class LatencyHistogram
+{
+public:
+    void observe(Duration duration);
+
+    // Upper bounds of the buckets in seconds; a last one takes all longer durations.
+    static constexpr std::array<double, 10> bounds{0.001, 0.002, 0.005, 0.01, 0.025,
+                                                   0.05,  0.1,   0.25,  0.5,  1.0};
+
+    std::array<std::uint64_t, bounds.size() + 1> counts() const;
+    double sumSeconds() const { return static_cast<double>(this->sumMicroseconds.load()) / 1e6; }
+
+private:
+    std::array<std::atomic<std::uint64_t>, bounds.size() + 1> buckets{};
+    std::atomic<std::int64_t> sumMicroseconds{0};
+};
+
 using MetricSource = std::function<std::vector<MetricSample>()>;
 
 class Metrics
@@ -36,6 +58,9 @@
 
     void addSource(MetricSource source);
 
+    // The histogram must outlive this object.
+    void addHistogram(std::string name, std::string help, LatencyHistogram const &histogram);
+
     // All samples in the Prometheus text format.
     std::string text() const;
 
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -4,10 +4,12 @@
 
 #include <LibControlWire/ReplicationCodec.h>
 #include <LibCore/Try.h>
+#include <LibFrontEnd/DecisionLog.h>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -139,6 +141,11 @@
 {
     Timestamp const now = IoRuntime::now();
     this->directory.noteAlive(*this->settings.control, this->settings.failureDomain, now);
+    bool const isInContact = this->log->contact()->isInContact;
+    if (this->wasInContact.exchange(isInContact) != isInContact)
+        this->report(isInContact ? Event::MajorityContactRegained : Event::MajorityContactLost,
+                     fmt::format("term={} applied={}", this->log->contact()->status.term,
+                                 this->log->contact()->status.appliedIndex));
     std::vector<Endpoint> keep = this->settings.seeds;
     for (Replica const &voter : this->log->contact()->status.voters) {
         if (auto const endpoint = Endpoint::parse(voter.instance); endpoint.ok()) {
@@ -160,6 +167,16 @@
     this->views->answerAll(IoRuntime::now());
 }
 
+ControlState ControlServer::state() const
+{
+    auto const targets = this->registry.all();
+    return ControlState{
+        .contact = *this->log->contact(),
+        .configurationVersion = this->log->applied()->state.version,
+        .targets = static_cast<std::size_t>(std::ranges::count_if(
+            targets, [](RegisteredTarget const &target) { return target.state != RegisteredState::Gone; }))};
+}
+
 std::vector<std::string> ControlServer::knownInstances() const
 {
     std::vector<std::string> names;
@@ -274,7 +291,7 @@
         respond(emptyResponse());
         return;
     }
-    this->answerWhenSpread(respond);
+    this->answerWhenSpread(fmt::format("target={:x} state=draining", target.number.value), respond);
 }
 
 void ControlServer::answer(HttpRequest const &, LeaveCall const &call, HttpRespond const &respond)
@@ -294,19 +311,23 @@
     }
     this->report(Event::TargetGone, fmt::format("target={:x} born={} left", call.target.value, born));
     this->views->answerDue(now);
-    this->answerWhenSpread(respond);
+    this->answerWhenSpread(fmt::format("target={:x} state=gone", call.target.value), respond);
 }
 
 // An instance that hears of the end of a target from nobody would go on sending to it, so the call is
 // acknowledged when more than half of the control instances know.
-void ControlServer::answerWhenSpread(HttpRespond const &respond)
+void ControlServer::answerWhenSpread(std::string const &target, HttpRespond const &respond)
 {
+    Timestamp const since = IoRuntime::now();
     this->spreader->whenSpread(
-        IoRuntime::now() + longestSpread, [respond](RegistrySpreader::SpreadResult const &result) {
-            if (result.holders * 2 > result.known)
-                respond(emptyResponse());
-            else
-                respond(errorResponse(503, "too few control instances could be told; try another"));
+        since + longestSpread, [this, since, target, respond](RegistrySpreader::SpreadResult const &result) {
+            bool const isKnown = result.holders * 2 > result.known;
+            this->spreads.observe(IoRuntime::now() - since);
+            this->report(Event::EndAnswered,
+                         fmt::format("{} holders={} known={} status={}", target, result.holders, result.known,
+                                     isKnown ? 200 : 503));
+            respond(isKnown ? emptyResponse()
+                            : errorResponse(503, "too few control instances could be told; try another"));
         });
 }
 
@@ -318,9 +339,22 @@
         respond(errorResponse(404, "unknown failure domain: " + domain->failureDomain));
         return;
     }
-    this->log->submit(call.change, [this, request, respond](absl::Status const &status) {
-        respond(status.ok() ? emptyResponse() : this->refusal(request, status));
-    });
+    this->log->submit(call.change,
+                      [this, request, respond, since = IoRuntime::now()](absl::Status const &status) {
+                          this->answerChange(request, status, since, respond);
+                      });
+}
+
+void ControlServer::answerChange(HttpRequest const &request, absl::Status const &status, Timestamp since,
+                                 HttpRespond const &respond)
+{
+    HttpResponse const response = status.ok() ? emptyResponse() : this->refusal(request, status);
+    this->changes.observe(IoRuntime::now() - since);
+    this->report(Event::ChangeAnswered,
+                 fmt::format("path={} bytes={} status={} version={} reason={}", request.path,
+                             request.body.size(), response.status, this->log->applied()->state.version,
+                             logValue(std::string(status.message()))));
+    respond(response);
 }
 
 void ControlServer::answer(HttpRequest const &request, ReadCall const &, HttpRespond const &respond)
@@ -335,8 +369,11 @@
     });
 }
 
-void ControlServer::answer(HttpRequest const &, InvalidCall const &call, HttpRespond const &respond)
+void ControlServer::answer(HttpRequest const &request, InvalidCall const &call, HttpRespond const &respond)
 {
+    this->report(Event::ChangeAnswered,
+                 fmt::format("path={} bytes={} status={} reason={}", request.path, request.body.size(),
+                             call.status, logValue(call.reason)));
     respond(errorResponse(call.status, call.reason));
 }
 
--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <LibFrontEnd/HttpServer.h>
+#include <LibFrontEnd/Metrics.h>
 #include <LibNode/DocumentLog.h>
 #include <LibNode/RegistrySpreader.h>
 #include <LibNode/RegistryStore.h>
@@ -57,6 +58,16 @@
 
 using ControlCall = std::variant<HeartbeatCall, LeaveCall, ChangeCall, ReadCall, InvalidCall>;
 
+// What metrics tell of a control instance.
+struct ControlState
+{
+    LogContact contact;
+    std::uint64_t configurationVersion = 0;
+    std::size_t targets = 0;
+
+    friend bool operator==(ControlState const &, ControlState const &) = default;
+};
+
 struct ControlAdapter
 {
     std::function<ControlCall(HttpRequest const &)> decode;
@@ -75,6 +86,10 @@
     // A planned stop: another replica may lead at once, and entries that wait are answered.
     void beginStop();
 
+    ControlState state() const;
+    LatencyHistogram const &changeLatency() const { return this->changes; }
+    LatencyHistogram const &spreadLatency() const { return this->spreads; }
+
     Endpoint localEndpoint() const { return this->http->localEndpoint(); }
 
     // Seeds that the settings name now; known peers stay.
@@ -88,7 +103,9 @@
     void answer(HttpRequest const &request, ChangeCall const &call, HttpRespond const &respond);
     void answer(HttpRequest const &request, ReadCall const &call, HttpRespond const &respond);
     void answer(HttpRequest const &request, InvalidCall const &call, HttpRespond const &respond);
-    void answerWhenSpread(HttpRespond const &respond);
+    void answerWhenSpread(std::string const &target, HttpRespond const &respond);
+    void answerChange(HttpRequest const &request, absl::Status const &status, Timestamp since,
+                      HttpRespond const &respond);
     HttpResponse refusal(HttpRequest const &request, absl::Status const &status) const;
     void sendReplication(ReplicaEnvelope const &envelope);
     std::vector<std::string> knownInstances() const;
@@ -108,7 +125,10 @@
     std::unique_ptr<RegistryStore> store;
     std::unique_ptr<ViewServer> views;
     std::shared_ptr<HttpServer> http;
+    LatencyHistogram changes; // From a change of an operator to its acknowledgement.
+    LatencyHistogram spreads; // From the drain or end of a target to its acknowledgement.
     std::atomic<bool> isStopping{false};
+    std::atomic<bool> wasInContact{false};
 
     std::mutex linksMutex; // Guards replicationLinks.
     std::map<Endpoint, std::shared_ptr<HttpLink>> replicationLinks;
--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -41,10 +41,13 @@
                      EventReporter eventReporter)
     : runtime(ioRuntime), settings(std::move(nodeSettings)), adapter(std::move(packetAdapter)),
       report(std::move(eventReporter)),
-      router(
-          board, PlacementSettings{.failureDomain = settings.failureDomain},
-          TokenRouterHooks{.random = randomNumber,
-                           .checkTarget = [this](ViewTarget const &target) { this->checkTarget(target); }}),
+      router(board, PlacementSettings{.failureDomain = settings.failureDomain},
+             TokenRouterHooks{.random = randomNumber,
+                              .checkTarget = [this](ViewTarget const &target) { this->checkTarget(target); },
+                              .flowEstablished =
+                                  [this](FlowPacket const &packet, ViewTarget const &target, Duration after) {
+                                      this->noteEstablished(packet, target, after);
+                                  }}),
       held(HeldPacketLimits{}),
       follower(ioRuntime, settings, board,
                FollowerHooks{
@@ -110,19 +113,39 @@
                this->router.decide(*packet, times.now));
 }
 
+// Names the flow, and the view that the decision was made by with its age.
+std::string EntryNode::describe(FlowPacket const &packet) const
+{
+    ViewFreshness const view = this->follower.freshness();
+    auto const age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(IoRuntime::now() - view.answeredAt);
+    return fmt::format("caller={} service={} revision={} view_age_ms={}", packet.flow.caller.toString(),
+                       packet.flow.service.toString(), view.revision,
+                       view.answeredAt == Timestamp{} ? -1 : age.count());
+}
+
 void EntryNode::act(std::string_view datagram, FlowPacket const &packet, ForwardPacket const &decision,
-                    PacketTimes)
+                    PacketTimes times)
 {
     this->forwarded.fetch_add(1, std::memory_order_relaxed);
     this->socket->send(decision.endpoint, this->adapter.encodeForward(datagram, decision));
+    if (times.now > times.arrivedAt)
+        this->holding.observe(times.now - times.arrivedAt);
     if (packet.kind == PacketKind::Open)
         this->report(Event::FlowPlaced,
-                     fmt::format("caller={} service={} target={:x} endpoint={} copy={}",
-                                 packet.flow.caller.toString(), packet.flow.service.toString(),
-                                 decision.target.value, decision.endpoint.toString(),
+                     fmt::format("{} target={:x} endpoint={} token={:x} copy={}", this->describe(packet),
+                                 decision.target.value, decision.endpoint.toString(), decision.token.value,
                                  packet.acknowledgement));
 }
 
+void EntryNode::noteEstablished(FlowPacket const &packet, ViewTarget const &target, Duration after)
+{
+    this->establishing.observe(after);
+    this->report(Event::FlowEstablished,
+                 fmt::format("{} target={:x} after_ms={}", this->describe(packet), target.target.number.value,
+                             std::chrono::duration_cast<std::chrono::milliseconds>(after).count()));
+}
+
 void EntryNode::act(std::string_view, FlowPacket const &packet, ResetFlow const &decision, PacketTimes)
 {
     this->resets.fetch_add(1, std::memory_order_relaxed);
@@ -130,30 +153,32 @@
                        this->adapter.encodeReset(packet));
     this->board.flows.remove(packet.flow);
     this->report(Event::FlowReset,
-                 fmt::format("caller={} service={} reason={} token={:x}", packet.flow.caller.toString(),
-                             packet.flow.service.toString(), std::string(nameOf(decision.reason)),
-                             packet.token.value));
+                 fmt::format("{} reason={} token={:x}", this->describe(packet),
+                             std::string(nameOf(decision.reason)), packet.token.value));
 }
 
 void EntryNode::act(std::string_view datagram, FlowPacket const &packet, HoldPacket const &,
                     PacketTimes times)
 {
-    this->holds.fetch_add(1, std::memory_order_relaxed);
-    if (this->held.hold(datagram, times.arrivedAt, times.now))
+    if (!this->held.hold(datagram, times.arrivedAt, times.now)) {
+        this->drops.fetch_add(1, std::memory_order_relaxed);
+        this->report(
+            Event::PacketDropped,
+            fmt::format("{} reason=hold-full token={:x}", this->describe(packet), packet.token.value));
         return;
-    this->drops.fetch_add(1, std::memory_order_relaxed);
-    this->report(Event::PacketDropped,
-                 fmt::format("caller={} service={} reason=hold-full", packet.flow.caller.toString(),
-                             packet.flow.service.toString()));
+    }
+    if (times.now > times.arrivedAt)
+        return;
+    this->holds.fetch_add(1, std::memory_order_relaxed);
+    this->report(Event::PacketHeld, fmt::format("{} token={:x}", this->describe(packet), packet.token.value));
 }
 
 void EntryNode::act(std::string_view, FlowPacket const &packet, DropPacket const &decision, PacketTimes)
 {
     this->drops.fetch_add(1, std::memory_order_relaxed);
     this->report(Event::PacketDropped,
-                 fmt::format("caller={} service={} reason={} token={:x}", packet.flow.caller.toString(),
-                             packet.flow.service.toString(), std::string(nameOf(decision.reason)),
-                             packet.token.value));
+                 fmt::format("{} reason={} token={:x}", this->describe(packet),
+                             std::string(nameOf(decision.reason)), packet.token.value));
 }
 
 // A packet that still can't be decided is held again until its time is over.
--- a/Libraries/LibNode/EntryNode.h
+++ b/Libraries/LibNode/EntryNode.h
@@ -5,6 +5,7 @@
 
 #include <LibFrontEnd/HttpServer.h>
 #include <LibFrontEnd/ListenerCheck.h>
+#include <LibFrontEnd/Metrics.h>
 #include <LibFrontEnd/UdpSocket.h>
 #include <LibNode/HeldPackets.h>
 #include <LibNode/ViewFollower.h>
@@ -59,6 +60,9 @@
 
     bool isReady() const;
     EntryCounters counters() const;
+    ViewFreshness freshness() const { return this->follower.freshness(); }
+    LatencyHistogram const &establishLatency() const { return this->establishing; }
+    LatencyHistogram const &holdLatency() const { return this->holding; }
 
 private:
     struct PacketTimes
@@ -77,6 +81,8 @@
     void act(std::string_view datagram, FlowPacket const &packet, DropPacket const &decision,
              PacketTimes times);
     void retryHeld();
+    void noteEstablished(FlowPacket const &packet, ViewTarget const &target, Duration after);
+    std::string describe(FlowPacket const &packet) const;
     void checkTarget(ViewTarget const &target);
     void noteCheck(ViewTarget const &checked, ListenerState state);
 
@@ -91,6 +97,8 @@
     Cell<std::vector<TargetActivity>> activity;
     std::shared_ptr<UdpSocket> socket;
     std::shared_ptr<HttpServer> readiness;
+    LatencyHistogram establishing; // From the opening packet to the next one of the flow.
+    LatencyHistogram holding; // Of packets that were held and then decided.
     std::atomic<bool> isStopping{false};
     std::atomic<std::uint64_t> forwarded{0};
     std::atomic<std::uint64_t> resets{0};
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -2,6 +2,8 @@
 
 #include <LibNode/ViewFollower.h>
 
+#include <LibFrontEnd/DecisionLog.h>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -124,7 +126,7 @@
         ? parseViewReply(response->body, now)
         : absl::StatusOr<ViewReply>(response.ok() ? absl::UnavailableError("no success") : response.status());
     if (!reply.ok()) {
-        this->leaveSource(fmt::format("reason=\"{}\"", std::string(reply.status().message())));
+        this->leaveSource("reason=" + logValue(std::string(reply.status().message())));
         this->askLater();
         return;
     }
@@ -139,6 +141,11 @@
 
 void ViewFollower::apply(ViewReply const &reply, Timestamp now)
 {
+    if (this->source->boot == 0)
+        this->hooks.report(Event::ViewSourceFollowed,
+                           fmt::format("source={} in_contact={} complete={}",
+                                       this->source->endpoint.toString(), reply.isInContact,
+                                       reply.isComplete));
     this->source->boot = reply.boot;
     this->source->registryGeneration = reply.registryGeneration;
     for (ControlPeer const &peer : reply.controls)
@@ -183,6 +190,11 @@
         freshness.revision = known.revision;
         return freshness;
     });
+    this->hooks.report(Event::ViewChanged,
+                       fmt::format("revision={} version={} targets={} overdue={} taken_out={} complete={}",
+                                   known.revision, known.configuration.version, view.targets.size(),
+                                   this->overdue.size(), known.domainsTakenOut.size(),
+                                   view.isRegistryComplete));
     this->hooks.viewChanged();
 }
 
--- a/Libraries/LibSettings/NodeSettings.cpp
+++ b/Libraries/LibSettings/NodeSettings.cpp
@@ -37,12 +37,14 @@
 NodeSettings readNodeSettings(TomlValue const &root)
 {
     root.allowKeys({"instance", "failure_domain", "failure_domains", "packets", "readiness", "control",
-                    "seeds", "data_folder", "first_start", "heartbeat_ms", "stop_s", "cold_flows_per_s"});
+                    "metrics", "seeds", "data_folder", "first_start", "heartbeat_ms", "stop_s",
+                    "cold_flows_per_s"});
     NodeSettings settings{.instance = readName(root, "instance"),
                           .failureDomain = readName(root, "failure_domain"),
                           .packets = readOptionalEndpoint(root, "packets"),
                           .readiness = readOptionalEndpoint(root, "readiness"),
-                          .control = readOptionalEndpoint(root, "control")};
+                          .control = readOptionalEndpoint(root, "control"),
+                          .metrics = readOptionalEndpoint(root, "metrics")};
     for (TomlValue const &domain : root.optionalMember("failure_domains").tables())
         settings.failureDomains.push_back(domain.text("a name"));
     for (TomlValue const &seed : root.member("seeds", "a list of endpoints").tables())
--- a/Libraries/LibTokenRouting/TargetSigns.cpp
+++ b/Libraries/LibTokenRouting/TargetSigns.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-SignVerdict noteDataPacket(TokenBoard &board, FlowPacket const &packet, SignSettings const &settings,
+PacketSigns noteDataPacket(TokenBoard &board, FlowPacket const &packet, SignSettings const &settings,
                            Timestamp now)
 {
     bool isAlive = false;
@@ -37,10 +37,12 @@
     Timestamp repeatedSince = now;
     auto const known = board.flows.read(packet.flow);
     if (!known && board.flows.size() >= largestFlowNotes)
-        return SignVerdict::None;
+        return {};
+    std::optional<Duration> establishedAfter;
     board.flows.update(packet.flow, [&](std::optional<FlowNote> const &noted) -> std::optional<FlowNote> {
         isAlive = false;
         isRepeat = false;
+        establishedAfter.reset();
         FlowNote next = noted.value_or(FlowNote{.target = packet.token,
                                                 .openedAt = now,
                                                 .sequence = packet.sequence - 1,
@@ -48,6 +50,8 @@
                                                 .isEstablished = true});
         // The first packet after the opening one acknowledges that of the target.
         isAlive = !next.isEstablished || isLater(packet.acknowledgement, next.acknowledgement);
+        if (!next.isEstablished)
+            establishedAfter = now - next.openedAt;
         if (isAlive || !noted)
             next.acknowledgement = packet.acknowledgement;
         if (packet.length > 0 && isLater(packet.sequence, next.sequence)) {
@@ -64,12 +68,12 @@
     });
     if (isAlive) {
         noteAlive(board, packet.token, now);
-        return SignVerdict::None;
+        return PacketSigns{.establishedAfter = establishedAfter};
     }
     TargetSigns const signs = board.signsOf(packet.token);
     bool const wasHeardBefore = signs.aliveAt + settings.recentLife >= repeatedSince;
-    return isRepeat && wasHeardBefore && signs.aliveAt < repeatedSince ? SignVerdict::Suspect
-                                                                       : SignVerdict::None;
+    bool const isSilent = isRepeat && wasHeardBefore && signs.aliveAt < repeatedSince;
+    return PacketSigns{.verdict = isSilent ? SignVerdict::Suspect : SignVerdict::None};
 }
 
 SignVerdict judgeRepeatedOpen(TokenBoard const &board, FlowNote const &note, SignSettings const &settings,
--- a/Libraries/LibTokenRouting/TargetSigns.h
+++ b/Libraries/LibTokenRouting/TargetSigns.h
@@ -6,6 +6,7 @@
 #include <LibTokenRouting/TokenBoard.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace almondwing {
 
@@ -27,8 +28,15 @@
 
 enum class SignVerdict : std::uint8_t { None, Suspect };
 
-// Notes the packet, and returns whether it is evidence that its target does not answer.
-SignVerdict noteDataPacket(TokenBoard &board, FlowPacket const &packet, SignSettings const &settings,
+struct PacketSigns
+{
+    SignVerdict verdict = SignVerdict::None; // Whether it is evidence that the target does not answer.
+    std::optional<Duration> establishedAfter; // Set for the first packet after the opening one.
+
+    friend bool operator==(PacketSigns const &, PacketSigns const &) = default;
+};
+
+PacketSigns noteDataPacket(TokenBoard &board, FlowPacket const &packet, SignSettings const &settings,
                            Timestamp now);
 
 // A repeated opening packet: whether the target that got the first one gives no sign of life since.
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -88,7 +88,10 @@
     }
     if (isGone)
         return ResetFlow{ResetReason::TargetEnded};
-    if (noteDataPacket(this->board, packet, this->signSettings, now) == SignVerdict::Suspect)
+    PacketSigns const signs = noteDataPacket(this->board, packet, this->signSettings, now);
+    if (signs.establishedAfter)
+        this->hooks.flowEstablished(packet, *target, *signs.establishedAfter);
+    if (signs.verdict == SignVerdict::Suspect)
         this->raiseSuspicion(*target, packet.flow, now);
     if (this->board.signsOf(packet.token).isUnreachableAt(now)) {
         this->checkIfDue(*target, now);
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -13,6 +13,9 @@
     RandomSource random;
     // A target does not answer; it should be checked directly.
     std::function<void(ViewTarget const &)> checkTarget;
+    // The caller has got the target's answer to its opening packet, so long after this instance saw that
+    // packet.
+    std::function<void(FlowPacket const &, ViewTarget const &, Duration)> flowEstablished;
 };
 
 class TokenRouter
--- a/Tests/LibTokenRouting/TokenFixture.h
+++ b/Tests/LibTokenRouting/TokenFixture.h
@@ -80,12 +80,15 @@
     TokenBoard board;
     std::mt19937_64 random{20261204};
     std::vector<TargetNumber> checked;
-    TokenRouter router{board, PlacementSettings{.failureDomain = "dar-a"},
-                       TokenRouterHooks{.random = [this] { return this->random(); },
-                                        .checkTarget =
-                                            [this](ViewTarget const &target) {
-                                                this->checked.push_back(target.target.number);
-                                            }}};
+    std::vector<Duration> established;
+    TokenRouter router{
+        board, PlacementSettings{.failureDomain = "dar-a"},
+        TokenRouterHooks{
+            .random = [this] { return this->random(); },
+            .checkTarget =
+                [this](ViewTarget const &target) { this->checked.push_back(target.target.number); },
+            .flowEstablished = [this](FlowPacket const &, ViewTarget const &,
+                                      Duration after) { this->established.push_back(after); }}};
     Timestamp now = testStart;
 };
 
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(flowsOfAnEndedTargetAreReset);
     CPPUNIT_TEST(takenOutDomainGetsNoNewFlows);
     CPPUNIT_TEST(foreignPacketIsDropped);
+    CPPUNIT_TEST(establishedFlowIsReportedOnce);
     CPPUNIT_TEST(unansweredDataMakesATargetSuspect);
     CPPUNIT_TEST(repeatedDataOfAnActiveTargetIsNoSuspicion);
     CPPUNIT_TEST(refusalResetsFlowsForAShortTimeOnly);
@@ -154,6 +155,16 @@
         CPPUNIT_ASSERT(is<DropPacket>(this->fixture.decide(packet)));
     }
 
+    void establishedFlowIsReportedOnce()
+    {
+        this->fixture.show({testTarget(1, "dar-a")});
+        this->fixture.decide(openPacket(1));
+        this->fixture.now += 7ms;
+        this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1001, 1));
+        this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1101, 300));
+        CPPUNIT_ASSERT(this->fixture.established == std::vector<Duration>{7ms});
+    }
+
     // A target that answered others a moment ago answers nobody since the packet was sent first.
     void unansweredDataMakesATargetSuspect()
     {
