Operators: Explain flows of a caller from saved logs

almondwingctl explain-log reads the structured lines of several instances and lists the lines of a caller, of the targets that they name and what the instances concerned believed.

--- a/Utilities/almondwingctl/Main.cpp
+++ b/Utilities/almondwingctl/Main.cpp
@@ -2,6 +2,7 @@
 
 #include "ChangeCommand.h"
 #include "ExitCode.h"
+#include "LogCommand.h"
 #include "QueryCommand.h"
 #include "TextTables.h"
 
@@ -37,6 +38,8 @@
     std::string caller;
     std::string number;
     unsigned limit = 100;
+    std::vector<std::string> logFiles;
+    LogQuestion question;
 };
 
 ExitCode hashTokenFromInput()
@@ -155,6 +158,13 @@
     explain.add_option("--flow", arguments.flow, "Number of the flow");
     explain.add_option("--caller", arguments.caller, "Caller id of the request");
     explain.add_option("--number", arguments.number, "Number of the request");
+    auto &explainLog =
+        *app.add_subcommand("explain-log", "Tell from saved logs what happened to the flows of a caller");
+    explainLog.add_option("--caller", arguments.question.caller, "Address, or address:port, of the caller")
+        ->required();
+    explainLog.add_option("--from", arguments.question.from, "First time, as in the lines");
+    explainLog.add_option("--until", arguments.question.until, "Last time, as in the lines");
+    explainLog.add_option("files", arguments.logFiles, "Saved logs of the instances")->required();
     auto &audit = *app.add_subcommand("audit", "Show the audit trail of changes");
     audit.add_option("--limit", arguments.limit, "Newest entries to show");
     auto &coverage =
@@ -165,6 +175,10 @@
 
     if (hash.parsed())
         return static_cast<int>(hashTokenFromInput());
+    if (explainLog.parsed())
+        return static_cast<int>(explainSavedLogs(arguments.logFiles, arguments.question,
+                                                 arguments.output == "json" ? LogOutput::Json
+                                                                            : LogOutput::Text));
     auto const client = clientOptions(arguments);
     if (!client.ok()) {
         fmt::print(stderr, "almondwingctl: {}\n", std::string(client.status().message()));
