--- a/Libraries/LibFrontEnd/IoRuntime.cpp
+++ b/Libraries/LibFrontEnd/IoRuntime.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace almondwing {
@@ -23,13 +24,13 @@
     });
 }
 
-void waitForReload(std::shared_ptr<boost::asio::signal_set> const &signals, std::function<void()> reload)
+void waitForSignals(std::shared_ptr<boost::asio::signal_set> const &signals, std::function<void()> handle)
 {
-    signals->async_wait([signals, reload = std::move(reload)](boost::system::error_code error, int) {
+    signals->async_wait([signals, handle = std::move(handle)](boost::system::error_code error, int) {
         if (error)
             return;
-        reload();
-        waitForReload(signals, reload);
+        handle();
+        waitForSignals(signals, handle);
     });
 }
 
@@ -63,18 +64,21 @@
     runRepeatedly(std::make_shared<boost::asio::steady_timer>(this->io->asio), interval, std::move(work));
 }
 
+// The set lives as long as the loop: once it is gone, a second signal would end the process within its
+// shutdown.
 void IoRuntime::onStopSignal(std::function<void()> stop)
 {
-    auto const signals = std::make_shared<boost::asio::signal_set>(this->io->asio, SIGTERM, SIGINT);
-    signals->async_wait([signals, stop = std::move(stop)](boost::system::error_code error, int) {
-        if (!error)
-            stop();
-    });
+    auto const hasBegun = std::make_shared<bool>(false);
+    waitForSignals(std::make_shared<boost::asio::signal_set>(this->io->asio, SIGTERM, SIGINT),
+                   [hasBegun, stop = std::move(stop)] {
+                       if (!std::exchange(*hasBegun, true))
+                           stop();
+                   });
 }
 
 void IoRuntime::onReloadSignal(std::function<void()> reload)
 {
-    waitForReload(std::make_shared<boost::asio::signal_set>(this->io->asio, SIGHUP), std::move(reload));
+    waitForSignals(std::make_shared<boost::asio::signal_set>(this->io->asio, SIGHUP), std::move(reload));
 }
 
 void IoRuntime::run(std::uint32_t threadCount)
--- a/Libraries/LibFrontEnd/LogExplanation.cpp
+++ b/Libraries/LibFrontEnd/LogExplanation.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::array targetEvents{"TargetAnnounced", "TargetSuspected", "TargetUnreachable", "TargetGone",
                                   "EndAnswered"};
-constexpr std::array beliefEvents{"ViewChanged",        "ViewSourceLost",      "ViewSourceFollowed",
-                                  "ProcessStarted",     "ProcessStopping",     "ProcessStopped",
+constexpr std::array beliefEvents{"ViewChanged",         "ViewSourceLost",         "ViewSourceFollowed",
+                                  "ProcessStarted",      "ProcessStopping",        "ProcessStopped",
                                   "MajorityContactLost", "MajorityContactRegained"};
 
 // A value up to the next space, or in quotes with quotes doubled inside. Moves `at` behind it.
@@ -114,7 +114,8 @@
         if (!isWithin(line, question))
             continue;
         auto const target = line.fields.find("target");
-        if (isOneOf(line.name, targetEvents) && target != line.fields.end() && targets.contains(target->second))
+        if (isOneOf(line.name, targetEvents) && target != line.fields.end()
+            && targets.contains(target->second))
             answer.targets.push_back(line);
         bool const isConcerned = instances.contains(line.instance) || line.name.starts_with("Majority");
         if (isOneOf(line.name, beliefEvents) && isConcerned)
--- a/Libraries/LibFrontEnd/LogExplanation.h
+++ b/Libraries/LibFrontEnd/LogExplanation.h
@@ -1,5 +1,5 @@
-// Finds in saved logs what happened to the flows of a caller: its own lines, those of the targets that they name, and
-// what the instances concerned believed at that time.
+// Finds in saved logs what happened to the flows of a caller: its own lines, those of the targets that they
+// name, and what the instances concerned believed at that time.
 
 #pragma once
 
@@ -23,8 +23,8 @@
     friend bool operator==(LogLine const &, LogLine const &) = default;
 };
 
-// Nothing for a line that no DecisionLog wrote. Anything before the time is passed over, such as what a collector
-// puts before each line.
+// Nothing for a line that no DecisionLog wrote. Anything before the time is passed over, such as what a
+// collector puts before each line.
 std::optional<LogLine> parseLogLine(std::string_view text);
 
 struct LogQuestion
@@ -40,7 +40,8 @@
 {
     std::vector<LogLine> flows; // Lines that name the caller.
     std::vector<LogLine> targets; // Lines of the targets that those name, by other instances, too.
-    std::vector<LogLine> beliefs; // Views, contact and configuration of the instances that wrote the flow lines.
+    std::vector<LogLine>
+        beliefs; // Views, contact and configuration of the instances that wrote the flow lines.
 
     friend bool operator==(LogAnswer const &, LogAnswer const &) = default;
 };
--- a/Libraries/LibNode/ActivityBoard.cpp
+++ b/Libraries/LibNode/ActivityBoard.cpp
@@ -2,87 +2,151 @@
 
 #include <LibNode/ActivityBoard.h>
 
-#include <utility>
+#include <algorithm>
 
 namespace almondwing {
 
 namespace {
 
-// Entries report several times a second, control instances about once.
-constexpr Duration reportLifetime = 3s;
+// Entries and control instances report once a second.
+constexpr Duration reportLifetime = 3500ms;
 
-void addTo(std::map<TargetToken, std::uint32_t> &sums, std::vector<TargetActivity> const &activity)
+// Smaller changes do not alter where flows go.
+constexpr std::uint32_t toldTolerancePercent = 20;
+
+bool isWorthTelling(std::uint32_t told, std::uint32_t now)
 {
-    for (TargetActivity const &entry : activity)
-        sums[entry.token] += entry.flows;
+    std::uint32_t const difference = told > now ? told - now : now - told;
+    return difference > std::max(1U, told * toldTolerancePercent / 100) || (difference > 0 && now == 0);
 }
 
-std::vector<TargetActivity> listOf(std::map<TargetToken, std::uint32_t> const &sums)
+} // namespace
+
+TokenPlaces tokenPlaces(TargetRegistry const &registry)
 {
-    std::vector<TargetActivity> list;
-    for (auto const &[token, flows] : sums)
-        list.push_back(TargetActivity{.token = token, .flows = flows});
-    return list;
+    TokenPlaces places;
+    for (RegisteredTarget const &target : registry.all()) {
+        if (target.state == RegisteredState::Ready)
+            places.emplace(tokenOf(target.number),
+                           TokenPlace{.group = ServiceDomain{target.service, target.failureDomain},
+                                      .slots = target.slots});
+    }
+    return places;
 }
 
-template<typename Reports>
-void replaceReport(Cell<Reports> &cell, std::string const &instance, ActivityReport const &report)
+void ActivityBoard::add(Counts const &flows)
 {
-    cell.update([&](Reports reports) {
-        std::erase_if(reports, [&](auto const &entry) {
-            return report.reportedAt - entry.second.reportedAt > reportLifetime;
-        });
-        reports.insert_or_assign(instance, report);
-        return reports;
-    });
+    for (auto const &[token, count] : flows)
+        this->totals[token] += count;
 }
 
-} // namespace
+void ActivityBoard::subtract(Counts const &flows)
+{
+    for (auto const &[token, count] : flows) {
+        auto const total = this->totals.find(token);
+        total->second -= count;
+        if (total->second == 0)
+            this->totals.erase(total);
+    }
+}
 
-void ActivityBoard::reportEntry(std::string const &instance, std::vector<TargetActivity> activity,
+void ActivityBoard::reportEntry(std::string const &instance, std::vector<TargetActivity> const &activity,
                                 Timestamp now)
 {
-    replaceReport(this->entries, instance,
-                  ActivityReport{.activity = std::move(activity), .reportedAt = now});
+    Counts flows;
+    for (TargetActivity const &entry : activity) {
+        if (entry.flows > 0)
+            flows[entry.token] = entry.flows;
+    }
+    std::scoped_lock const lock(this->mutex);
+    EntryReport &report = this->entries[instance];
+    this->add(flows);
+    this->subtract(report.flows);
+    report.flows = std::move(flows);
+    report.reportedAt = now;
 }
 
-void ActivityBoard::reportPeer(std::string const &instance, std::vector<TargetActivity> activity,
-                               Timestamp now)
+void ActivityBoard::reportPeer(std::string const &instance, GroupFlows const &flows, Timestamp now)
 {
-    replaceReport(this->peers, instance, ActivityReport{.activity = std::move(activity), .reportedAt = now});
+    std::scoped_lock const lock(this->mutex);
+    this->peers[instance] = PeerReport{.flows = flows, .reportedAt = now};
 }
 
-std::vector<TargetActivity> ActivityBoard::ownEntries(Timestamp now) const
+void ActivityBoard::forgetOld(Timestamp now)
 {
-    std::map<TargetToken, std::uint32_t> sums;
-    auto const reports = this->entries.read();
-    for (auto const &[name, report] : *reports) {
-        if (now - report.reportedAt <= reportLifetime)
-            addTo(sums, report.activity);
+    std::scoped_lock const lock(this->mutex);
+    std::erase_if(this->entries, [&](auto const &entry) {
+        bool const isOld = now - entry.second.reportedAt > reportLifetime;
+        if (isOld)
+            this->subtract(entry.second.flows);
+        return isOld;
+    });
+    std::erase_if(this->peers,
+                  [&](auto const &entry) { return now - entry.second.reportedAt > reportLifetime; });
+}
+
+std::vector<TargetActivity> ActivityBoard::changesFor(std::string const &instance,
+                                                      std::string const &failureDomain,
+                                                      TokenPlaces const &places, Told told)
+{
+    std::scoped_lock const lock(this->mutex);
+    EntryReport &report = this->entries[instance];
+    if (told == Told::Nothing)
+        report.told.clear();
+    std::vector<TargetActivity> changes;
+    for (auto const &[token, place] : places) {
+        if (place.group.failureDomain != failureDomain)
+            continue;
+        auto const total = this->totals.find(token);
+        auto const own = report.flows.find(token);
+        std::uint32_t const flows =
+            (total == this->totals.end() ? 0 : total->second) - (own == report.flows.end() ? 0 : own->second);
+        auto const known = report.told.find(token);
+        if (!isWorthTelling(known == report.told.end() ? 0 : known->second, flows))
+            continue;
+        report.told[token] = flows;
+        changes.push_back(TargetActivity{.token = token, .flows = flows});
     }
-    return listOf(sums);
+    std::ranges::sort(changes, {}, &TargetActivity::token);
+    return changes;
 }
 
-std::vector<TargetActivity> ActivityBoard::allBut(std::string const &instance, Timestamp now) const
+GroupFlows ActivityBoard::ownFlows(TokenPlaces const &places) const
 {
-    std::map<TargetToken, std::uint32_t> sums;
-    for (auto const &reports : {this->entries.read(), this->peers.read()}) {
-        for (auto const &[name, report] : *reports) {
-            if (name != instance && now - report.reportedAt <= reportLifetime)
-                addTo(sums, report.activity);
+    GroupFlows flows;
+    std::scoped_lock const lock(this->mutex);
+    for (auto const &[token, count] : this->totals) {
+        if (auto const place = places.find(token); place != places.end())
+            flows[place->second.group] += count;
+    }
+    return flows;
+}
+
+std::vector<GroupLoad> ActivityBoard::loads(TokenPlaces const &places) const
+{
+    GroupFlows flows = this->ownFlows(places);
+    {
+        std::scoped_lock const lock(this->mutex);
+        for (auto const &[instance, report] : this->peers) {
+            for (auto const &[group, count] : report.flows)
+                flows[group] += count;
         }
     }
-    return listOf(sums);
+    std::map<ServiceDomain, std::uint32_t> slots;
+    for (auto const &[token, place] : places)
+        slots[place.group] += place.slots;
+    std::vector<GroupLoad> loads;
+    for (auto const &[group, count] : slots)
+        loads.push_back(GroupLoad{.group = group, .flows = flows[group], .slots = count});
+    return loads;
 }
 
-std::vector<std::string> ActivityBoard::entryNames(Timestamp now) const
+std::vector<std::string> ActivityBoard::entryNames() const
 {
+    std::scoped_lock const lock(this->mutex);
     std::vector<std::string> names;
-    auto const reports = this->entries.read();
-    for (auto const &[name, report] : *reports) {
-        if (now - report.reportedAt <= reportLifetime)
-            names.push_back(name);
-    }
+    for (auto const &[name, report] : this->entries)
+        names.push_back(name);
     return names;
 }
 
--- a/Libraries/LibNode/ActivityBoard.h
+++ b/Libraries/LibNode/ActivityBoard.h
@@ -1,47 +1,85 @@
-// How many flows the entries have at each target, as they and other control instances report it. Entries
-// place new flows by the sum over all others.
+// How many flows the entries have at each target, as they report it. An entry gets the sums over all others
+// for the targets of its own failure domain, as differences; of other failure domains it gets the load of
+// each service.
 
 #pragma once
 
-#include <LibBlackboard/Cell.h>
 #include <LibCore/Time.h>
+#include <LibRegistry/TargetRegistry.h>
 #include <LibTokenRouting/TokenBoard.h>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace almondwing {
 
-struct ActivityReport
+// Where the tokens of the registry belong, made anew when the registry changes.
+struct TokenPlace
 {
-    std::vector<TargetActivity> activity;
-    Timestamp reportedAt;
+    ServiceDomain group;
+    std::uint32_t slots = 1;
 
-    friend bool operator==(ActivityReport const &, ActivityReport const &) = default;
+    friend bool operator==(TokenPlace const &, TokenPlace const &) = default;
 };
 
+using TokenPlaces = absl::flat_hash_map<TargetToken, TokenPlace>;
+
+TokenPlaces tokenPlaces(TargetRegistry const &registry);
+
+using GroupFlows = std::map<ServiceDomain, std::uint32_t>;
+
 class ActivityBoard
 {
 public:
-    // An entry or a control instance, by its name; an older report of it is replaced.
-    void reportEntry(std::string const &instance, std::vector<TargetActivity> activity, Timestamp now);
-    void reportPeer(std::string const &instance, std::vector<TargetActivity> activity, Timestamp now);
+    // An entry, by its name; its earlier report is replaced.
+    void reportEntry(std::string const &instance, std::vector<TargetActivity> const &activity, Timestamp now);
+    // Another control instance: the flows of the entries that report there.
+    void reportPeer(std::string const &instance, GroupFlows const &flows, Timestamp now);
+
+    void forgetOld(Timestamp now);
 
-    // Over all entries that report here.
-    std::vector<TargetActivity> ownEntries(Timestamp now) const;
-    // Over all entries that are known, but for the flows of one of them.
-    std::vector<TargetActivity> allBut(std::string const &instance, Timestamp now) const;
+    // What has changed for an entry since it was told last, for the targets of a failure domain; everything
+    // if it was told nothing.
+    enum class Told : std::uint8_t { Nothing, Earlier };
+    std::vector<TargetActivity> changesFor(std::string const &instance, std::string const &failureDomain,
+                                           TokenPlaces const &places, Told told);
+
+    // Flows of the entries that report here.
+    GroupFlows ownFlows(TokenPlaces const &places) const;
+    // Flows of all entries for the slots of each service in each failure domain.
+    std::vector<GroupLoad> loads(TokenPlaces const &places) const;
 
     // The entries that report here, in the order of their names.
-    std::vector<std::string> entryNames(Timestamp now) const;
+    std::vector<std::string> entryNames() const;
 
 private:
-    using Reports = std::map<std::string, ActivityReport>;
+    using Counts = absl::flat_hash_map<TargetToken, std::uint32_t>;
+
+    struct EntryReport
+    {
+        Counts flows;
+        Counts told; // Flows of the others, as the entry was told last.
+        Timestamp reportedAt;
+    };
+
+    struct PeerReport
+    {
+        GroupFlows flows;
+        Timestamp reportedAt;
+    };
+
+    void add(Counts const &flows);
+    void subtract(Counts const &flows);
 
-    Cell<Reports> entries;
-    Cell<Reports> peers;
+    mutable std::mutex mutex; // Guards all members below.
+    std::map<std::string, EntryReport> entries;
+    std::map<std::string, PeerReport> peers;
+    Counts totals; // Sums over `entries`.
 };
 
 } // namespace almondwing
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -27,6 +27,9 @@
 
 constexpr Duration replicationTimeout = 400ms;
 
+// What walks over the whole registry is done this often.
+constexpr Duration refreshInterval = 500ms;
+
 // Peers that were not heard for so long are forgotten, unless the settings or the log name them.
 constexpr Duration peerRetention = 30s;
 
@@ -96,12 +99,12 @@
                               .dataFolder = *this->settings.dataFolder,
                               .replication = replicationSettings(this->settings.seeds)},
         std::move(hooks));
-    this->spreader =
-        std::make_unique<RegistrySpreader>(this->runtime,
-                                           SpreaderSettings{.self = *this->settings.control,
-                                                            .failureDomain = this->settings.failureDomain,
-                                                            .boot = this->boot},
-                                           this->registry, this->directory, this->activity);
+    this->spreader = std::make_unique<RegistrySpreader>(
+        this->runtime,
+        SpreaderSettings{.self = *this->settings.control,
+                         .failureDomain = this->settings.failureDomain,
+                         .boot = this->boot},
+        this->registry, this->directory, this->activity, [this] { return this->views->places(); });
     this->views = std::make_unique<ViewServer>(
         ViewServerSettings{.boot = this->boot,
                            .completeAfter = 2 * this->settings.heartbeatInterval + 1s,
@@ -119,7 +122,8 @@
         .handle = [this](HttpRequest const &request,
                          HttpRespond const &respond) { this->handle(request, respond); },
         .reportRefusal = [this](std::string const &text) { this->report(Event::InputDropped, text); }};
-    this->http = TRY(HttpServer::open(this->runtime, *this->settings.control, std::move(hooks)));
+    this->http = TRY(HttpServer::open(
+        this->runtime, this->settings.controlListen.value_or(*this->settings.control), std::move(hooks)));
     return absl::OkStatus();
 }
 
@@ -154,7 +158,11 @@
         }
     }
     this->directory.forgetSilent(now - peerRetention, keep);
-    this->registry.forgetOld(now);
+    if (now - this->lastRefresh.load() >= refreshInterval) {
+        this->lastRefresh = now;
+        this->registry.forgetOld(now);
+        this->views->refresh(now);
+    }
     this->spreader->spread(now);
     this->store->saveIfDue(now);
     this->views->answerDue(now);
--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -129,6 +129,7 @@
     LatencyHistogram spreads; // From the drain or end of a target to its acknowledgement.
     std::atomic<bool> isStopping{false};
     std::atomic<bool> wasInContact{false};
+    std::atomic<Timestamp> lastRefresh{Timestamp{}};
 
     std::mutex linksMutex; // Guards replicationLinks.
     std::map<Endpoint, std::shared_ptr<HttpLink>> replicationLinks;
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -90,6 +90,46 @@
     return activity;
 }
 
+Json toJson(std::vector<GroupLoad> const &loads)
+{
+    Json list = Json::array();
+    for (GroupLoad const &load : loads)
+        list.push_back(Json::array({load.group.service, load.group.failureDomain, load.flows, load.slots}));
+    return list;
+}
+
+std::vector<GroupLoad> loadsOf(Json const &json)
+{
+    std::vector<GroupLoad> loads;
+    for (Json const &element : json)
+        loads.push_back(GroupLoad{
+            .group = ServiceDomain{element.at(0).get<std::string>(), element.at(1).get<std::string>()},
+            .flows = element.at(2).get<std::uint32_t>(),
+            .slots = element.at(3).get<std::uint32_t>()});
+    return loads;
+}
+
+Json heardToJson(std::vector<RegisteredTarget> const &targets, Timestamp now)
+{
+    Json list = Json::array();
+    for (RegisteredTarget const &target : targets)
+        list.push_back(Json::array({target.number.value, target.order.bornMilliseconds, target.order.sequence,
+                                    millisecondsOf(now - target.heardAt)}));
+    return list;
+}
+
+std::vector<RegisteredTarget> heardOf(Json const &json, Timestamp now)
+{
+    std::vector<RegisteredTarget> targets;
+    for (Json const &element : json)
+        targets.push_back(
+            RegisteredTarget{.number = TargetNumber{element.at(0).get<std::uint64_t>()},
+                             .order = ReportOrder{.bornMilliseconds = element.at(1).get<std::int64_t>(),
+                                                  .sequence = element.at(2).get<std::uint64_t>()},
+                             .heardAt = now - fromMilliseconds(element.at(3).get<std::int64_t>())});
+    return targets;
+}
+
 Json toJson(std::vector<ControlPeer> const &peers)
 {
     Json list = Json::array();
@@ -166,21 +206,29 @@
 
 std::string formatViewRequest(ViewRequest const &request)
 {
-    return Json{{"instance", request.instance}, {"failure_domain", request.failureDomain},
-                {"boot", request.boot},         {"registry", request.registryGeneration},
-                {"revision", request.revision}, {"activity", toJson(request.activity)}}
-        .dump();
+    Json json{{"instance", request.instance},
+              {"failure_domain", request.failureDomain},
+              {"boot", request.boot},
+              {"registry", request.registryGeneration},
+              {"revision", request.revision}};
+    if (request.activity)
+        json["activity"] = toJson(*request.activity);
+    return json.dump();
 }
 
 absl::StatusOr<ViewRequest> parseViewRequest(std::string_view text)
 {
     return decoded(text, [](Json const &json) {
-        return ViewRequest{.instance = json.at("instance").get<std::string>(),
-                           .failureDomain = json.at("failure_domain").get<std::string>(),
-                           .boot = json.at("boot").get<std::uint64_t>(),
-                           .registryGeneration = json.at("registry").get<std::uint64_t>(),
-                           .revision = json.at("revision").get<std::uint64_t>(),
-                           .activity = activityOf(json.at("activity"))};
+        ViewRequest request{
+            .instance = json.at("instance").get<std::string>(),
+            .failureDomain = json.at("failure_domain").get<std::string>(),
+            .boot = json.at("boot").get<std::uint64_t>(),
+            .registryGeneration = json.at("registry").get<std::uint64_t>(),
+            .revision = json.at("revision").get<std::uint64_t>(),
+        };
+        if (json.contains("activity"))
+            request.activity = activityOf(json.at("activity"));
+        return request;
     });
 }
 
@@ -202,6 +250,8 @@
         json["controls"] = toJson(reply.controls);
     if (!reply.activity.empty())
         json["activity"] = toJson(reply.activity);
+    if (!reply.loads.empty())
+        json["loads"] = toJson(reply.loads);
     for (TargetNumber const number : reply.overdue)
         json["overdue"].push_back(number.value);
     return json.dump();
@@ -219,7 +269,8 @@
                         .targets = targetsOf(json.value("targets", none), now),
                         .controls = peersOf(json.value("controls", none)),
                         .mayOpenCold = json.contains("cold"),
-                        .activity = activityOf(json.value("activity", none))};
+                        .activity = activityOf(json.value("activity", none)),
+                        .loads = loadsOf(json.value("loads", none))};
         if (json.contains("configuration"))
             reply.configuration = configurationOf(json.at("configuration"));
         for (Json const &number : json.value("overdue", none))
@@ -239,7 +290,8 @@
                 {"peers", toJson(exchange.peers)},
                 {"hears", std::move(hears)},
                 {"targets", toJson(exchange.targets, now)},
-                {"activity", toJson(exchange.activity)}}
+                {"heard", heardToJson(exchange.heard, now)},
+                {"flows", toJson(exchange.flows)}}
         .dump();
 }
 
@@ -251,7 +303,8 @@
                                   .boot = json.at("boot").get<std::uint64_t>(),
                                   .peers = peersOf(json.at("peers")),
                                   .targets = targetsOf(json.at("targets"), now),
-                                  .activity = activityOf(json.at("activity"))};
+                                  .heard = heardOf(json.at("heard"), now),
+                                  .flows = loadsOf(json.at("flows"))};
         for (Json const &peer : json.at("hears"))
             exchange.hears.push_back(endpointOf(peer));
         return exchange;
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -34,7 +34,8 @@
     std::uint64_t boot = 0; // Of the process that answered last; the generation belongs to it.
     std::uint64_t registryGeneration = 0;
     std::uint64_t revision = 0; // Of the configuration log, as far as the entry has it.
-    std::vector<TargetActivity> activity; // Flows of this entry at each target.
+    // Flows of this entry at each target; absent if the latest report still holds.
+    std::optional<std::vector<TargetActivity>> activity;
 
     friend bool operator==(ViewRequest const &, ViewRequest const &) = default;
 };
@@ -63,7 +64,10 @@
     std::vector<TargetNumber> overdue; // Targets whose heartbeats have stopped.
     std::vector<ControlPeer> controls;
     bool mayOpenCold = false; // The entry may open flows at cold targets for a second.
-    std::vector<TargetActivity> activity; // Flows of all other entries at each target.
+    // Answers a report: flows of all other entries at targets of the entry's failure domain, as far as they
+    // have changed, and the load of each service elsewhere.
+    std::vector<TargetActivity> activity;
+    std::vector<GroupLoad> loads;
 
     friend bool operator==(ViewReply const &, ViewReply const &) = default;
 };
@@ -77,7 +81,8 @@
     std::vector<ControlPeer> peers; // heardAt is meaningful only as "lately or not".
     std::vector<Endpoint> hears; // Peers that the sender has heard directly a short time ago.
     std::vector<RegisteredTarget> targets;
-    std::vector<TargetActivity> activity; // Of the entries that follow the sender.
+    std::vector<RegisteredTarget> heard; // Only number, order and heardAt: heartbeats without a change.
+    std::vector<GroupLoad> flows; // Of the entries that follow the sender; without slots.
 
     friend bool operator==(RegistryExchange const &, RegistryExchange const &) = default;
 };
--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -9,9 +9,10 @@
 
 RegistrySpreader::RegistrySpreader(IoRuntime &ioRuntime, SpreaderSettings spreaderSettings,
                                    TargetRegistry &targetRegistry, PeerDirectory &peerDirectory,
-                                   ActivityBoard &activityBoard)
+                                   ActivityBoard &activityBoard,
+                                   std::function<Cell<TokenPlaces>::Snapshot()> placesHook)
     : runtime(ioRuntime), settings(std::move(spreaderSettings)), registry(targetRegistry),
-      directory(peerDirectory), activity(activityBoard)
+      directory(peerDirectory), activity(activityBoard), places(std::move(placesHook))
 {
 }
 
@@ -46,34 +47,28 @@
 // Changes go to every peer, whoever reported them, so that they pass around a partition. Heartbeats come from
 // the instance that got them, and through this one only where that instance and the peer do not hear each
 // other.
-std::vector<RegisteredTarget> RegistrySpreader::dueTargets(PeerLink const &link, bool isRound) const
-{
-    std::vector<RegisteredTarget> due;
-    for (RegistryEntry const &entry : this->registry.changedAfter(link.confirmed))
-        due.push_back(entry.target);
-    if (!isRound)
-        return due;
-    for (RegistryEntry const &entry : this->registry.heardAfter(link.heardConfirmed)) {
-        bool const isDirect = entry.reporter == Endpoint{};
-        bool const hearsReporter = std::ranges::find(link.hears, entry.reporter) != link.hears.end();
-        if (entry.changeGeneration <= link.confirmed && (isDirect || !hearsReporter))
-            due.push_back(entry.target);
-    }
-    return due;
-}
-
-RegistryExchange RegistrySpreader::exchangeFor(std::vector<RegisteredTarget> targets, Timestamp now) const
+RegistryExchange RegistrySpreader::exchangeFor(PeerLink const &link, bool isRound, Timestamp now) const
 {
     RegistryExchange exchange{.from = this->settings.self,
                               .failureDomain = this->settings.failureDomain,
-                              .boot = this->settings.boot,
-                              .targets = std::move(targets)};
+                              .boot = this->settings.boot};
+    for (RegistryEntry const &entry : this->registry.changedAfter(link.confirmed))
+        exchange.targets.push_back(entry.target);
     for (auto const &[endpoint, peer] : this->directory.peers()) {
         exchange.peers.push_back(peer);
         if (this->isHeard(peer, now))
             exchange.hears.push_back(endpoint);
     }
-    exchange.activity = this->activity.ownEntries(now);
+    if (!isRound)
+        return exchange;
+    for (RegistryEntry const &entry : this->registry.heardAfter(link.heardConfirmed)) {
+        bool const isDirect = entry.reporter == Endpoint{};
+        bool const hearsReporter = std::ranges::find(link.hears, entry.reporter) != link.hears.end();
+        if (entry.changeGeneration <= link.confirmed && (isDirect || !hearsReporter))
+            exchange.heard.push_back(entry.target);
+    }
+    for (auto const &[group, flows] : this->activity.ownFlows(*this->places()))
+        exchange.flows.push_back(GroupLoad{.group = group, .flows = flows});
     return exchange;
 }
 
@@ -87,7 +82,7 @@
     if (link->isCalling || (!isRound && !(hasChanges && this->isHeard(peer, now))))
         return;
     std::uint64_t const upTo = this->registry.generation();
-    RegistryExchange const exchange = this->exchangeFor(this->dueTargets(*link, isRound), now);
+    RegistryExchange const exchange = this->exchangeFor(*link, isRound, now);
     link->isCalling = true;
     if (isRound)
         link->lastRound = now;
@@ -150,7 +145,14 @@
         std::scoped_lock const lock(link->mutex);
         link->hears = exchange.hears;
     }
-    this->activity.reportPeer(exchange.from.toString(), exchange.activity, now);
+    for (RegisteredTarget const &target : exchange.heard)
+        this->registry.mergeHeard(target, now, exchange.from);
+    if (!exchange.flows.empty()) {
+        GroupFlows flows;
+        for (GroupLoad const &load : exchange.flows)
+            flows[load.group] = load.flows;
+        this->activity.reportPeer(exchange.from.toString(), flows, now);
+    }
     return RegistryExchangeReply{.boot = this->settings.boot};
 }
 
--- a/Libraries/LibNode/RegistrySpreader.h
+++ b/Libraries/LibNode/RegistrySpreader.h
@@ -35,7 +35,8 @@
 {
 public:
     RegistrySpreader(IoRuntime &ioRuntime, SpreaderSettings spreaderSettings, TargetRegistry &targetRegistry,
-                     PeerDirectory &peerDirectory, ActivityBoard &activityBoard);
+                     PeerDirectory &peerDirectory, ActivityBoard &activityBoard,
+                     std::function<Cell<TokenPlaces>::Snapshot()> placesHook);
 
     // Sends what is due; called several times a second, and at once after a change.
     void spread(Timestamp now);
@@ -78,8 +79,7 @@
 
     std::shared_ptr<PeerLink> linkTo(Endpoint peer);
     void spreadTo(ControlPeer const &peer, Timestamp now);
-    std::vector<RegisteredTarget> dueTargets(PeerLink const &link, bool isRound) const;
-    RegistryExchange exchangeFor(std::vector<RegisteredTarget> targets, Timestamp now) const;
+    RegistryExchange exchangeFor(PeerLink const &link, bool isRound, Timestamp now) const;
     void noteReply(Endpoint peer, PeerLink &link, std::uint64_t sentUpTo, bool wasRound,
                    absl::StatusOr<HttpResponse> const &response);
     void resolveWaiting(Timestamp now);
@@ -90,6 +90,7 @@
     TargetRegistry &registry;
     PeerDirectory &directory;
     ActivityBoard &activity;
+    std::function<Cell<TokenPlaces>::Snapshot()> places;
 
     std::mutex linksMutex; // Guards links.
     std::map<Endpoint, std::shared_ptr<PeerLink>> links;
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -16,6 +16,9 @@
 // A control instance answers within 400 ms even if nothing has changed.
 constexpr Duration requestTimeout = 800ms;
 
+// Flows are reported this often; at the size of 250 targets in a failure domain a report takes 3 KB at most.
+constexpr Duration activityInterval = 1s;
+
 // A permit is renewed with every answer.
 constexpr Duration coldPermitLifetime = 1s;
 
@@ -101,7 +104,7 @@
                               .boot = this->source->boot,
                               .registryGeneration = this->source->registryGeneration,
                               .revision = this->configuration ? this->configuration->revision : 0,
-                              .activity = this->hooks.activity()};
+                              .activity = this->activityIfDue(IoRuntime::now())};
     HttpCall const call{.server = this->source->endpoint,
                         .method = HttpMethod::Post,
                         .target = std::string(viewPath),
@@ -114,6 +117,15 @@
                              });
 }
 
+std::optional<std::vector<TargetActivity>> ViewFollower::activityIfDue(Timestamp now)
+{
+    bool const isNewSource = this->source->boot == 0;
+    if (!isNewSource && now - this->lastActivity < activityInterval)
+        return std::nullopt;
+    this->lastActivity = now;
+    return this->hooks.activity();
+}
+
 void ViewFollower::askLater()
 {
     this->runtime.runAfter(retryDelay, [this] { this->queue.post([this] { this->ask(); }); });
@@ -171,7 +183,11 @@
     isChanged |= before.isRegistryComplete != this->freshness().isRegistryComplete;
     if (reply.mayOpenCold)
         this->hooks.coldFlowsPermitted(now + coldPermitLifetime);
+    if (reply.extent == RegistryExtent::Full)
+        forgetRemoteActivity(this->board);
     noteRemoteActivity(this->board, reply.activity);
+    if (!reply.loads.empty())
+        noteGroupLoads(this->board, reply.loads);
     if (isChanged)
         this->publishView(now);
 }
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -59,6 +59,7 @@
     };
 
     void ask();
+    std::optional<std::vector<TargetActivity>> activityIfDue(Timestamp now);
     void askLater();
     void handleReply(absl::StatusOr<HttpResponse> const &response);
     void apply(ViewReply const &reply, Timestamp now);
@@ -82,6 +83,7 @@
     std::optional<Source> source;
     std::size_t nextCandidate = 0;
     Timestamp sourceSince;
+    Timestamp lastActivity;
     std::optional<ConfigurationView> configuration; // Its revision never falls.
     std::set<TargetNumber> overdue;
 };
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -22,36 +22,39 @@
 {
 }
 
-std::vector<TargetNumber> ViewServer::overdueTargets(Timestamp now) const
+void ViewServer::refresh(Timestamp now)
 {
-    std::vector<TargetNumber> overdue;
-    for (RegisteredTarget const &target : this->registry.all()) {
-        if (target.state == RegisteredState::Ready && this->registry.isOverdue(target, now))
-            overdue.push_back(target.number);
-    }
-    return overdue;
+    std::vector<TargetNumber> const silent = this->registry.overdue(now);
+    if (silent != *this->overdue.read())
+        this->overdue.update([&silent](auto const &) { return silent; });
+    std::uint64_t const generation = this->registry.changeGeneration();
+    if (this->placesGeneration.exchange(generation) != generation)
+        this->tokenPlacesNow.update(
+            [next = tokenPlaces(this->registry)](TokenPlaces const &) { return next; });
+    this->activity.forgetOld(now);
 }
 
 void ViewServer::handle(ViewRequest request, HttpRespond respond, Timestamp now)
 {
-    this->activity.reportEntry(request.instance, request.activity, now);
+    if (request.activity)
+        this->activity.reportEntry(request.instance, *request.activity, now);
     {
         std::scoped_lock const lock(this->mutex);
         this->waiting.push_back(Waiting{.request = std::move(request),
                                         .respond = std::move(respond),
                                         .deadline = now + this->settings.longestWait,
                                         .wasInContact = this->log.contact()->isInContact,
-                                        .overdue = this->overdueTargets(now)});
+                                        .overdue = *this->overdue.read()});
     }
     this->answerDue(now);
 }
 
-bool ViewServer::isDue(Waiting const &entry, std::vector<TargetNumber> const &overdue, Timestamp now) const
+bool ViewServer::isDue(Waiting const &entry, std::vector<TargetNumber> const &overdueNow, Timestamp now) const
 {
     return now >= entry.deadline || entry.request.boot != this->settings.boot
         || this->registry.changeGeneration() > entry.request.registryGeneration
         || this->log.applied()->view.revision > entry.request.revision
-        || this->log.contact()->isInContact != entry.wasInContact || overdue != entry.overdue;
+        || this->log.contact()->isInContact != entry.wasInContact || overdueNow != entry.overdue;
 }
 
 // Only the leader gives permits, and only after those of an earlier leader have ended.
@@ -60,7 +63,7 @@
     auto const since = this->leadsSince.read();
     if (!since->has_value() || now - **since < permitDelay)
         return false;
-    std::vector<std::string> const names = this->activity.entryNames(now);
+    std::vector<std::string> const names = this->activity.entryNames();
     auto const own = std::ranges::find(names, instance);
     return static_cast<std::size_t>(own - names.begin()) < this->settings.coldPermits;
 }
@@ -74,8 +77,7 @@
         [&](auto const &) { return leads ? std::optional(now) : std::optional<Timestamp>(); });
 }
 
-ViewReply ViewServer::replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue,
-                              Timestamp now) const
+ViewReply ViewServer::replyTo(ViewRequest const &request, std::vector<TargetNumber> overdueNow, Timestamp now)
 {
     bool const isSameBoot = request.boot == this->settings.boot;
     ViewReply reply{.boot = this->settings.boot,
@@ -83,7 +85,7 @@
                     .extent = isSameBoot ? RegistryExtent::Difference : RegistryExtent::Full,
                     .isComplete = now - this->settings.startedAt >= this->settings.completeAfter,
                     .isInContact = this->log.contact()->isInContact,
-                    .overdue = std::move(overdue)};
+                    .overdue = std::move(overdueNow)};
     for (RegistryEntry const &entry :
          this->registry.changedAfter(isSameBoot ? request.registryGeneration : 0))
         reply.targets.push_back(entry.target);
@@ -94,26 +96,35 @@
             reply.controls.push_back(peer);
     }
     reply.mayOpenCold = this->mayOpenCold(request.instance, now);
-    reply.activity = this->activity.allBut(request.instance, now);
+    if (!request.activity)
+        return reply;
+    auto const tokens = this->tokenPlacesNow.read();
+    reply.activity =
+        this->activity.changesFor(request.instance, request.failureDomain, *tokens,
+                                  isSameBoot ? ActivityBoard::Told::Earlier : ActivityBoard::Told::Nothing);
+    for (GroupLoad const &load : this->activity.loads(*tokens)) {
+        if (load.group.failureDomain != request.failureDomain)
+            reply.loads.push_back(load);
+    }
     return reply;
 }
 
 void ViewServer::answerDue(Timestamp now)
 {
     this->noteLeadership(now);
-    std::vector<TargetNumber> const overdue = this->overdueTargets(now);
+    std::vector<TargetNumber> const overdueNow = *this->overdue.read();
     std::vector<Waiting> due;
     {
         std::scoped_lock const lock(this->mutex);
         std::erase_if(this->waiting, [&](Waiting &entry) {
-            if (!this->isDue(entry, overdue, now))
+            if (!this->isDue(entry, overdueNow, now))
                 return false;
             due.push_back(std::move(entry));
             return true;
         });
     }
     for (Waiting const &entry : due) {
-        ViewReply const reply = this->replyTo(entry.request, overdue, now);
+        ViewReply const reply = this->replyTo(entry.request, overdueNow, now);
         entry.respond(HttpResponse{.body = formatViewReply(reply, now)});
     }
 }
--- a/Libraries/LibNode/ViewServer.h
+++ b/Libraries/LibNode/ViewServer.h
@@ -9,6 +9,7 @@
 #include <LibRegistry/PeerDirectory.h>
 #include <LibRegistry/TargetRegistry.h>
 
+#include <atomic>
 #include <cstddef>
 #include <mutex>
 #include <optional>
@@ -42,6 +43,11 @@
     // Answers the requests for which something has changed or that have waited long enough.
     void answerDue(Timestamp now);
 
+    // Looks which heartbeats have stopped, and where the tokens belong; called once or twice a second.
+    void refresh(Timestamp now);
+
+    Cell<TokenPlaces>::Snapshot places() const { return this->tokenPlacesNow.read(); }
+
     // Answers all that wait, before a planned stop.
     void answerAll(Timestamp now);
 
@@ -56,8 +62,7 @@
     };
 
     bool isDue(Waiting const &waiting, std::vector<TargetNumber> const &overdue, Timestamp now) const;
-    ViewReply replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue, Timestamp now) const;
-    std::vector<TargetNumber> overdueTargets(Timestamp now) const;
+    ViewReply replyTo(ViewRequest const &request, std::vector<TargetNumber> overdue, Timestamp now);
     bool mayOpenCold(std::string const &instance, Timestamp now) const;
     void noteLeadership(Timestamp now);
 
@@ -66,6 +71,9 @@
     TargetRegistry &registry;
     PeerDirectory &directory;
     ActivityBoard &activity;
+    Cell<std::vector<TargetNumber>> overdue; // As of the last refresh.
+    Cell<TokenPlaces> tokenPlacesNow; // Likewise.
+    std::atomic<std::uint64_t> placesGeneration{0};
     Cell<std::optional<Timestamp>> leadsSince; // Nothing while another replica leads.
     std::mutex mutex; // Guards waiting.
     std::vector<Waiting> waiting;
--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -38,7 +38,7 @@
         return MergeOutcome::Unchanged;
     MergeOutcome const outcome = this->store(report, now, reporter);
     if (outcome == MergeOutcome::Changed)
-        this->endPredecessors(report, now);
+        this->endPredecessor(report, now);
     return outcome;
 }
 
@@ -73,6 +73,16 @@
     return outcome;
 }
 
+MergeOutcome TargetRegistry::mergeHeard(RegisteredTarget const &heard, Timestamp now, Endpoint reporter)
+{
+    auto known = this->find(heard.number);
+    if (!known || known->order.bornMilliseconds != heard.order.bornMilliseconds)
+        return MergeOutcome::Unchanged;
+    known->order = heard.order;
+    known->heardAt = heard.heardAt;
+    return this->store(*known, now, reporter);
+}
+
 MergeOutcome TargetRegistry::markGone(TargetNumber number, std::int64_t bornMilliseconds, Timestamp now)
 {
     MergeOutcome outcome = MergeOutcome::Unchanged;
@@ -96,27 +106,25 @@
 }
 
 // An address belongs to one target at a time, so an earlier target there has ended.
-void TargetRegistry::endPredecessors(RegisteredTarget const &report, Timestamp now)
+void TargetRegistry::endPredecessor(RegisteredTarget const &report, Timestamp now)
 {
-    std::vector<RegisteredTarget> ended;
-    this->entries.forEach([&](TargetNumber number, RegistryEntry const &entry) {
-        if (number != report.number && entry.target.endpoint == report.endpoint
-            && entry.target.state != RegisteredState::Gone
-            && entry.target.order.bornMilliseconds < report.order.bornMilliseconds)
-            ended.push_back(entry.target);
-    });
-    for (RegisteredTarget const &target : ended)
-        this->markGone(target.number, target.order.bornMilliseconds, now);
+    EndpointHolder const next{.number = report.number, .bornMilliseconds = report.order.bornMilliseconds};
+    auto const before = this->holders.read(report.endpoint);
+    if (before && before->value.bornMilliseconds > next.bornMilliseconds)
+        return;
+    // A conflict means that another report of the endpoint was merged meanwhile; the next heartbeat decides.
+    if (this->holders.write(report.endpoint, next, before ? before->version : 0) == WriteOutcome::Conflict)
+        return;
+    if (before && before->value.number != report.number
+        && before->value.bornMilliseconds < next.bornMilliseconds)
+        this->markGone(before->value.number, before->value.bornMilliseconds, now);
 }
 
 bool TargetRegistry::hasSuccessor(RegisteredTarget const &report) const
 {
-    bool isFound = false;
-    this->entries.forEach([&](TargetNumber number, RegistryEntry const &entry) {
-        isFound |= number != report.number && entry.target.endpoint == report.endpoint
-            && entry.target.order.bornMilliseconds > report.order.bornMilliseconds;
+    return this->holders.containsWhere(report.endpoint, [&](EndpointHolder const &holder) {
+        return holder.number != report.number && holder.bornMilliseconds > report.order.bornMilliseconds;
     });
-    return isFound;
 }
 
 void TargetRegistry::treatAsCold(std::string const &failureDomain, Timestamp until)
@@ -140,12 +148,31 @@
 
 void TargetRegistry::forgetOld(Timestamp now)
 {
-    for (RegisteredTarget const &target : this->all()) {
-        if (now - target.heardAt > this->settings.retention)
-            this->entries.remove(target.number);
+    std::vector<RegisteredTarget> old;
+    this->entries.forEach([&](TargetNumber, RegistryEntry const &entry) {
+        if (now - entry.target.heardAt > this->settings.retention)
+            old.push_back(entry.target);
+    });
+    for (RegisteredTarget const &target : old) {
+        this->entries.remove(target.number);
+        if (this->holders.containsWhere(target.endpoint, [&](EndpointHolder const &holder) {
+                return holder.number == target.number;
+            }))
+            this->holders.remove(target.endpoint);
     }
 }
 
+std::vector<TargetNumber> TargetRegistry::overdue(Timestamp now) const
+{
+    std::vector<TargetNumber> numbers;
+    this->entries.forEach([&](TargetNumber number, RegistryEntry const &entry) {
+        if (entry.target.state == RegisteredState::Ready && this->isOverdue(entry.target, now))
+            numbers.push_back(number);
+    });
+    std::ranges::sort(numbers);
+    return numbers;
+}
+
 std::optional<RegisteredTarget> TargetRegistry::find(TargetNumber number) const
 {
     auto const entry = this->entries.read(number);
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -41,6 +41,14 @@
     friend bool operator==(RegistryEntry const &, RegistryEntry const &) = default;
 };
 
+struct EndpointHolder
+{
+    TargetNumber number;
+    std::int64_t bornMilliseconds = 0;
+
+    friend bool operator==(EndpointHolder const &, EndpointHolder const &) = default;
+};
+
 class TargetRegistry
 {
 public:
@@ -49,6 +57,10 @@
     // Takes over a heartbeat or a record of another instance if it is later than what is known.
     MergeOutcome merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter = {});
 
+    // A heartbeat without a change, as another instance tells it. Nothing if the record is not known here:
+    // the other instance sends it whole.
+    MergeOutcome mergeHeard(RegisteredTarget const &heard, Timestamp now, Endpoint reporter);
+
     // The target has ended for certain; nothing if its start is later than the given one.
     MergeOutcome markGone(TargetNumber number, std::int64_t bornMilliseconds, Timestamp now);
 
@@ -62,6 +74,9 @@
     std::optional<RegisteredTarget> find(TargetNumber number) const;
     std::vector<RegisteredTarget> all() const;
 
+    // Targets that are ready by their latest report, but whose heartbeats have stopped; in ascending order.
+    std::vector<TargetNumber> overdue(Timestamp now) const;
+
     // Whether the heartbeats have stopped, so that new flows should go elsewhere.
     bool isOverdue(RegisteredTarget const &target, Timestamp now) const;
 
@@ -77,11 +92,13 @@
 private:
     std::uint64_t nextGeneration() { return this->lastGeneration.fetch_add(1) + 1; }
     MergeOutcome store(RegisteredTarget const &report, Timestamp now, Endpoint reporter);
-    void endPredecessors(RegisteredTarget const &report, Timestamp now);
+    void endPredecessor(RegisteredTarget const &report, Timestamp now);
     bool hasSuccessor(RegisteredTarget const &report) const;
 
     RegistrySettings settings;
     ShardedTable<TargetNumber, RegistryEntry, 16> entries;
+    // The target with the latest start that was reported at an endpoint.
+    ShardedTable<Endpoint, EndpointHolder, 16> holders;
     std::atomic<std::uint64_t> lastGeneration{0};
     std::atomic<std::uint64_t> lastChange{0}; // At most lastGeneration.
 };
--- a/Libraries/LibSettings/NodeSettings.cpp
+++ b/Libraries/LibSettings/NodeSettings.cpp
@@ -37,13 +37,14 @@
 NodeSettings readNodeSettings(TomlValue const &root)
 {
     root.allowKeys({"instance", "failure_domain", "failure_domains", "packets", "readiness", "control",
-                    "metrics", "seeds", "data_folder", "first_start", "heartbeat_ms", "stop_s",
-                    "cold_flows_per_s"});
+                    "control_listen", "metrics", "seeds", "data_folder", "first_start", "heartbeat_ms",
+                    "stop_s", "cold_flows_per_s"});
     NodeSettings settings{.instance = readName(root, "instance"),
                           .failureDomain = readName(root, "failure_domain"),
                           .packets = readOptionalEndpoint(root, "packets"),
                           .readiness = readOptionalEndpoint(root, "readiness"),
                           .control = readOptionalEndpoint(root, "control"),
+                          .controlListen = readOptionalEndpoint(root, "control_listen"),
                           .metrics = readOptionalEndpoint(root, "metrics")};
     for (TomlValue const &domain : root.optionalMember("failure_domains").tables())
         settings.failureDomains.push_back(domain.text("a name"));
--- a/Libraries/LibSettings/NodeSettings.h
+++ b/Libraries/LibSettings/NodeSettings.h
@@ -22,6 +22,7 @@
     std::optional<Endpoint> packets; // UDP, from callers; of an entry.
     std::optional<Endpoint> readiness; // HTTP, asked by the fabric; of an entry.
     std::optional<Endpoint> control; // HTTP; of a control instance.
+    std::optional<Endpoint> controlListen; // Where a control instance listens, if that is not `control`.
     std::optional<Endpoint> metrics; // HTTP; /metrics in the Prometheus text format.
     std::vector<Endpoint> seeds; // Some control instances; at least one.
     std::optional<std::string> dataFolder; // Of a control instance.
--- a/Libraries/LibTokenRouting/FlowPlacement.cpp
+++ b/Libraries/LibTokenRouting/FlowPlacement.cpp
@@ -28,20 +28,33 @@
         && !view.domainsTakenOut.contains(target.target.failureDomain);
 }
 
-Candidates candidatesOf(TokenBoard const &board, ServingView const &view, std::string const &service)
+// Of other failure domains this instance knows the load of each service as a whole and its own flows.
+double loadOf(ViewTarget const &target, TargetSigns const &signs, GroupLoads const &groupLoads,
+              std::string const &ownDomain)
+{
+    double const flows = signs.activeFlows + signs.remoteFlows + 1;
+    double const load = flows / std::max(1U, target.target.slots);
+    if (target.target.failureDomain == ownDomain)
+        return load;
+    auto const group = groupLoads.find(ServiceDomain{target.target.service, target.target.failureDomain});
+    return group == groupLoads.end() ? load : std::max(load, group->second);
+}
+
+Candidates candidatesOf(TokenBoard const &board, ServingView const &view, std::string const &service,
+                        std::string const &ownDomain)
 {
     Candidates candidates;
     auto const tokens = view.tokensOfService.find(service);
     if (tokens == view.tokensOfService.end())
         return candidates;
+    auto const groupLoads = board.groupLoads.read();
     for (TargetToken const token : tokens->second) {
         ViewTarget const *const target = view.targetOf(token);
         if (!mayTakeFlows(view, *target))
             continue;
         TargetSigns const signs = board.signsOf(token);
-        double const flows = signs.activeFlows + signs.remoteFlows;
         candidates.push_back(Candidate{
-            .target = target, .signs = signs, .load = (flows + 1) / std::max(1U, target->target.slots)});
+            .target = target, .signs = signs, .load = loadOf(*target, signs, *groupLoads, ownDomain)});
     }
     return candidates;
 }
@@ -118,7 +131,7 @@
                                      PlacementSettings const &settings, RandomSource const &random,
                                      Timestamp now)
 {
-    Candidates candidates = withoutSuspects(candidatesOf(board, view, service), now);
+    Candidates candidates = withoutSuspects(candidatesOf(board, view, service, settings.failureDomain), now);
     Candidates const others =
         filtered(candidates, [&](Candidate const &candidate) { return candidate.target->token != excluded; });
     if (!others.empty())
--- a/Libraries/LibTokenRouting/TokenBoard.cpp
+++ b/Libraries/LibTokenRouting/TokenBoard.cpp
@@ -12,12 +12,15 @@
 // A flow counts as load while its caller sends at least this often.
 constexpr Duration activeWindow = 3s;
 
-std::map<TargetToken, std::uint32_t> countsByToken(std::vector<TargetActivity> const &activity)
+void setRemoteFlows(TokenBoard &board, TargetToken token, std::uint32_t flows)
 {
-    std::map<TargetToken, std::uint32_t> counts;
-    for (TargetActivity const &entry : activity)
-        counts[entry.token] += entry.flows;
-    return counts;
+    board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+        TargetSigns next = signs.value_or(TargetSigns{});
+        if (signs && next.remoteFlows == flows)
+            return std::nullopt;
+        next.remoteFlows = flows;
+        return next;
+    });
 }
 
 } // namespace
@@ -60,20 +63,22 @@
 
 void noteRemoteActivity(TokenBoard &board, std::vector<TargetActivity> const &activity)
 {
-    auto counts = countsByToken(activity);
-    for (auto const &[token, signs] : board.signs.entries()) {
-        if (signs.remoteFlows != 0)
-            counts.try_emplace(token, 0);
-    }
-    for (auto const &[token, flows] : counts) {
-        board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
-            TargetSigns next = signs.value_or(TargetSigns{});
-            if (signs && next.remoteFlows == flows)
-                return std::nullopt;
-            next.remoteFlows = flows;
-            return next;
-        });
-    }
+    for (TargetActivity const &entry : activity)
+        setRemoteFlows(board, entry.token, entry.flows);
+}
+
+void forgetRemoteActivity(TokenBoard &board)
+{
+    for (auto const &[token, signs] : board.signs.entries())
+        setRemoteFlows(board, token, 0);
+}
+
+void noteGroupLoads(TokenBoard &board, std::vector<GroupLoad> const &loads)
+{
+    GroupLoads next;
+    for (GroupLoad const &load : loads)
+        next[load.group] = static_cast<double>(load.flows) / std::max(1U, load.slots);
+    board.groupLoads.update([&next](GroupLoads const &) { return next; });
 }
 
 } // namespace almondwing
--- a/Libraries/LibTokenRouting/TokenBoard.h
+++ b/Libraries/LibTokenRouting/TokenBoard.h
@@ -8,6 +8,8 @@
 #include <LibTokenRouting/ServingView.h>
 
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace almondwing {
@@ -49,11 +51,32 @@
 // More notes are not kept, 64 bytes each.
 constexpr std::size_t largestFlowNotes = 16384;
 
+// The targets of one service in one failure domain.
+struct ServiceDomain
+{
+    std::string service;
+    std::string failureDomain;
+
+    friend auto operator<=>(ServiceDomain const &, ServiceDomain const &) = default;
+};
+
+struct GroupLoad
+{
+    ServiceDomain group;
+    std::uint32_t flows = 0; // Of all instances.
+    std::uint32_t slots = 1; // Of all targets of the group; at least 1.
+
+    friend bool operator==(GroupLoad const &, GroupLoad const &) = default;
+};
+
+using GroupLoads = std::map<ServiceDomain, double>; // Flows a slot.
+
 struct TokenBoard
 {
     Cell<ServingView> view;
     ShardedTable<ConnectionKey, FlowNote, 16> flows;
     ShardedTable<TargetToken, TargetSigns, 16> signs;
+    Cell<GroupLoads> groupLoads; // As reported last.
 
     TargetSigns signsOf(TargetToken token) const;
 };
@@ -70,7 +93,12 @@
 // each target that has any.
 std::vector<TargetActivity> sweepFlows(TokenBoard &board, Timestamp now);
 
-// Takes over how many flows the other instances have at each target; targets that are not named have none.
+// Takes over how many flows the other instances have at the targets that are named.
 void noteRemoteActivity(TokenBoard &board, std::vector<TargetActivity> const &activity);
 
+// What other instances reported before no longer holds.
+void forgetRemoteActivity(TokenBoard &board);
+
+void noteGroupLoads(TokenBoard &board, std::vector<GroupLoad> const &loads);
+
 } // namespace almondwing
--- a/Tests/LibFrontEnd/IoRuntimeTest.cpp
+++ b/Tests/LibFrontEnd/IoRuntimeTest.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <csignal>
 #include <vector>
 
 namespace almondwing {
@@ -12,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(IoRuntimeTest);
     CPPUNIT_TEST(serialQueueRunsItsWorkInOrder);
+    CPPUNIT_TEST(secondStopSignalDoesNotEndTheProcess);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against work of the replicated log that runs on two threads at once or in another order. The
@@ -31,6 +34,27 @@
         for (int index = 0; index < workCount; ++index)
             CPPUNIT_ASSERT_EQUAL(index, done[static_cast<std::size_t>(index)]);
     }
+
+    // Guards against a graceful shutdown that a repeated signal cuts short. Without the handler the second
+    // signal would end the test program.
+    void secondStopSignalDoesNotEndTheProcess()
+    {
+        std::atomic<int> stops = 0;
+        std::promise<void> stopped;
+        RunningRuntime running;
+        running.runtime.onStopSignal([&] {
+            ++stops;
+            stopped.set_value();
+        });
+        CPPUNIT_ASSERT_EQUAL(0, std::raise(SIGTERM));
+        valueOf(stopped.get_future());
+        std::promise<void> later;
+        CPPUNIT_ASSERT_EQUAL(0, std::raise(SIGTERM));
+        running.runtime.runAfter(50ms, [&] { later.set_value(); });
+        valueOf(later.get_future());
+        CPPUNIT_ASSERT_EQUAL(1, stops.load());
+        running.stop();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IoRuntimeTest);
--- a/Tests/LibFrontEnd/LogExplanationTest.cpp
+++ b/Tests/LibFrontEnd/LogExplanationTest.cpp
@@ -26,9 +26,11 @@
          "caller=100.64.0.7:40001 reason=target-unreachable",
          "time=2026-12-04T10:00:01.000Z event=AW1500 name=FlowPlaced severity=information instance=entry-1 "
          "caller=100.64.0.7:40001 target=7f",
-         "time=2026-12-04T10:00:02.000Z event=AW1410 name=TargetUnreachable severity=warning instance=entry-2 "
+         "time=2026-12-04T10:00:02.000Z event=AW1410 name=TargetUnreachable severity=warning "
+         "instance=entry-2 "
          "target=7f check=silent",
-         "time=2026-12-04T10:00:02.500Z event=AW1410 name=TargetUnreachable severity=warning instance=entry-2 "
+         "time=2026-12-04T10:00:02.500Z event=AW1410 name=TargetUnreachable severity=warning "
+         "instance=entry-2 "
          "target=8f check=silent",
          "time=2026-12-04T10:00:02.700Z event=AW1271 name=ViewChanged severity=information instance=entry-1 "
          "revision=4",
--- a/Tests/LibNode/ActivityBoardTest.cpp
+++ b/Tests/LibNode/ActivityBoardTest.cpp
@@ -3,42 +3,125 @@
 #include <LibNode/ActivityBoard.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 namespace almondwing {
 
 class ActivityBoardTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ActivityBoardTest);
-    CPPUNIT_TEST(entryGetsTheFlowsOfAllOthers);
+    CPPUNIT_TEST(entryGetsTheFlowsOfAllOthersOnce);
+    CPPUNIT_TEST(smallChangesAreNotTold);
+    CPPUNIT_TEST(endedFlowsAreTold);
+    CPPUNIT_TEST(onlyTheOwnFailureDomainIsTold);
     CPPUNIT_TEST(oldReportsEnd);
+    CPPUNIT_TEST(loadsCountPeersAndSlots);
+    CPPUNIT_TEST(totalsFollowEveryReport);
     CPPUNIT_TEST_SUITE_END();
 
+    using Told = ActivityBoard::Told;
+
     static constexpr Timestamp start{1h};
-    static constexpr TargetToken token{7};
+    static constexpr TargetToken near{7};
+    static constexpr TargetToken far{8};
+
+    TokenPlaces const places{{near, TokenPlace{.group = ServiceDomain{"orders", "dar-a"}, .slots = 2}},
+                             {far, TokenPlace{.group = ServiceDomain{"orders", "dar-b"}, .slots = 4}}};
+    ActivityBoard board;
 
-    static std::vector<TargetActivity> flows(std::uint32_t count)
+    static std::vector<TargetActivity> flows(TargetToken token, std::uint32_t count)
     {
         return {TargetActivity{.token = token, .flows = count}};
     }
 
-    void entryGetsTheFlowsOfAllOthers()
+    std::vector<TargetActivity> changesFor(std::string const &entry)
     {
-        ActivityBoard board;
-        board.reportEntry("entry-1", flows(3), start);
-        board.reportEntry("entry-2", flows(4), start);
-        board.reportEntry("entry-2", flows(5), start);
-        board.reportPeer("control-2", flows(10), start);
-        CPPUNIT_ASSERT(board.allBut("entry-1", start) == flows(15));
-        // A peer gets only what was reported here, or sums would grow from exchange to exchange.
-        CPPUNIT_ASSERT(board.ownEntries(start) == flows(8));
+        return this->board.changesFor(entry, "dar-a", this->places, Told::Earlier);
+    }
+
+    void entryGetsTheFlowsOfAllOthersOnce()
+    {
+        this->board.reportEntry("entry-1", flows(near, 3), start);
+        this->board.reportEntry("entry-2", flows(near, 4), start);
+        this->board.reportEntry("entry-2", flows(near, 5), start);
+        this->board.reportEntry("entry-3", flows(near, 6), start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1") == flows(near, 11));
+        CPPUNIT_ASSERT(this->changesFor("entry-1").empty());
+        // A new process of the entry knows nothing.
+        CPPUNIT_ASSERT(this->board.changesFor("entry-1", "dar-a", this->places, Told::Nothing)
+                       == flows(near, 11));
+    }
+
+    // Guards against bytes that grow with the number of targets while nothing happens.
+    void smallChangesAreNotTold()
+    {
+        this->board.reportEntry("entry-2", flows(near, 20), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->changesFor("entry-1").size());
+        this->board.reportEntry("entry-2", flows(near, 22), start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1").empty());
+        this->board.reportEntry("entry-2", flows(near, 30), start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1") == flows(near, 30));
+    }
+
+    void endedFlowsAreTold()
+    {
+        this->board.reportEntry("entry-2", flows(near, 2), start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1") == flows(near, 2));
+        this->board.reportEntry("entry-2", {}, start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1") == flows(near, 0));
+    }
+
+    void onlyTheOwnFailureDomainIsTold()
+    {
+        this->board.reportEntry("entry-2", flows(far, 9), start);
+        CPPUNIT_ASSERT(this->changesFor("entry-1").empty());
     }
 
     void oldReportsEnd()
     {
-        ActivityBoard board;
-        board.reportEntry("entry-1", flows(3), start);
-        board.reportPeer("control-2", flows(10), start);
-        CPPUNIT_ASSERT(board.allBut("entry-2", start + 4s).empty());
+        this->board.reportEntry("entry-2", flows(near, 9), start);
+        this->board.reportPeer("control-2", GroupFlows{{ServiceDomain{"orders", "dar-b"}, 8}}, start);
+        this->board.forgetOld(start + 4s);
+        CPPUNIT_ASSERT(this->changesFor("entry-1").empty());
+        for (GroupLoad const &load : this->board.loads(this->places))
+            CPPUNIT_ASSERT_EQUAL(0U, load.flows);
+        CPPUNIT_ASSERT(this->board.entryNames() == std::vector<std::string>{"entry-1"});
+    }
+
+    void loadsCountPeersAndSlots()
+    {
+        this->board.reportEntry("entry-1", flows(far, 3), start);
+        this->board.reportPeer("control-2", GroupFlows{{ServiceDomain{"orders", "dar-b"}, 8}}, start);
+        auto const loads = this->board.loads(this->places);
+        CPPUNIT_ASSERT(
+            loads
+            == (std::vector{GroupLoad{.group = ServiceDomain{"orders", "dar-a"}, .flows = 0, .slots = 2},
+                            GroupLoad{.group = ServiceDomain{"orders", "dar-b"}, .flows = 11, .slots = 4}}));
+        // A peer gets only what was reported here, or sums would grow from exchange to exchange.
+        CPPUNIT_ASSERT(this->board.ownFlows(this->places)
+                       == (GroupFlows{{ServiceDomain{"orders", "dar-b"}, 3}}));
+    }
+
+    // The running totals equal the sum of the latest reports, whatever came before.
+    void totalsFollowEveryReport()
+    {
+        bool const holds = rc::check([this] {
+            ActivityBoard tested;
+            std::map<std::string, std::uint32_t> latest;
+            auto const steps = *rc::gen::inRange(1, 30);
+            for (int step = 0; step < steps; ++step) {
+                std::string const entry = "entry-" + std::to_string(*rc::gen::inRange(1, 4));
+                auto const count = *rc::gen::inRange<std::uint32_t>(0, 50);
+                tested.reportEntry(entry, flows(near, count), start);
+                latest[entry] = count;
+            }
+            std::uint32_t sum = 0;
+            for (auto const &[entry, count] : latest)
+                sum += count;
+            GroupFlows const own = tested.ownFlows(this->places);
+            RC_ASSERT((own.empty() ? 0 : own.begin()->second) == sum);
+        });
+        CPPUNIT_ASSERT(holds);
     }
 };
 
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -37,7 +37,8 @@
                     .controls = {ControlPeer{.endpoint = Endpoint{.address = 0x0a010001, .port = 8166},
                                              .failureDomain = "dar-b"}},
                     .mayOpenCold = true,
-                    .activity = {TargetActivity{.token = TargetToken{3}, .flows = 8}}};
+                    .activity = {TargetActivity{.token = TargetToken{3}, .flows = 8}},
+                    .loads = {GroupLoad{.group = ServiceDomain{"orders", "dar-b"}, .flows = 3, .slots = 4}}};
     reply.configuration = ConfigurationView{
         .revision = 40,
         .configuration = FlowConfiguration{.version = 7,
@@ -81,7 +82,8 @@
                                   .boot = 1,
                                   .registryGeneration = 2,
                                   .revision = 3,
-                                  .activity = {TargetActivity{.token = TargetToken{3}, .flows = 8}}};
+                                  .activity =
+                                      std::vector{TargetActivity{.token = TargetToken{3}, .flows = 8}}};
         auto const parsed = parseViewRequest(formatViewRequest(request));
         CPPUNIT_ASSERT(parsed.ok());
         CPPUNIT_ASSERT(*parsed == request);
@@ -89,13 +91,17 @@
 
     void exchangeComesBackWhole()
     {
-        RegistryExchange const exchange{.from = Endpoint{.address = 0x0a010001, .port = 8166},
-                                        .failureDomain = "dar-a",
-                                        .boot = 4,
-                                        .peers = someReply().controls,
-                                        .hears = {Endpoint{.address = 0x0a020001, .port = 8166}},
-                                        .targets = {someTarget()},
-                                        .activity = someReply().activity};
+        RegistryExchange const exchange{
+            .from = Endpoint{.address = 0x0a010001, .port = 8166},
+            .failureDomain = "dar-a",
+            .boot = 4,
+            .peers = someReply().controls,
+            .hears = {Endpoint{.address = 0x0a020001, .port = 8166}},
+            .targets = {someTarget()},
+            .heard = {RegisteredTarget{.number = TargetNumber{9},
+                                       .order = ReportOrder{.bornMilliseconds = 5, .sequence = 6},
+                                       .heardAt = senderNow - 700ms}},
+            .flows = someReply().loads};
         auto const parsed = parseRegistryExchange(formatRegistryExchange(exchange, senderNow), senderNow);
         CPPUNIT_ASSERT(parsed.ok());
         CPPUNIT_ASSERT(*parsed == exchange);
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(delayedReportAfterTheAddressWasReusedIsIgnored);
     CPPUNIT_TEST(repeatedRecordDoesNotKeepATargetAlive);
     CPPUNIT_TEST(heartbeatAloneIsNoChange);
+    CPPUNIT_TEST(heartbeatFromAPeerNeedsAKnownStart);
     CPPUNIT_TEST(returnedTargetsAreColdUntilTheirNextHeartbeat);
     CPPUNIT_TEST(silentTargetIsOverdue);
     CPPUNIT_TEST(copiesAgreeWhateverTheOrder);
@@ -144,6 +145,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->registry.heardAfter(before).size());
     }
 
+    void heartbeatFromAPeerNeedsAKnownStart()
+    {
+        Endpoint const peer{.address = 0x0a010001, .port = 8166};
+        RegisteredTarget heard{.number = TargetNumber{1},
+                               .order = ReportOrder{.bornMilliseconds = 100, .sequence = 6},
+                               .heardAt = start + 1s};
+        CPPUNIT_ASSERT(this->registry.mergeHeard(heard, start, peer) == MergeOutcome::Unchanged);
+        this->registry.merge(targetAt(1, 100, 5, RegisteredState::Draining), start);
+        CPPUNIT_ASSERT(this->registry.mergeHeard(heard, start, peer) == MergeOutcome::Heard);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Draining);
+        CPPUNIT_ASSERT(this->registry.find(TargetNumber{1})->heardAt == start + 1s);
+        heard.order = ReportOrder{.bornMilliseconds = 200, .sequence = 1};
+        CPPUNIT_ASSERT(this->registry.mergeHeard(heard, start, peer) == MergeOutcome::Unchanged);
+    }
+
     void returnedTargetsAreColdUntilTheirNextHeartbeat()
     {
         this->registry.merge(targetAt(1, 100, 5), start);
--- a/Tests/LibTokenRouting/FlowPlacementTest.cpp
+++ b/Tests/LibTokenRouting/FlowPlacementTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(ownFailureDomainGoesFirst);
     CPPUNIT_TEST(fullFailureDomainSpills);
     CPPUNIT_TEST(flowsOfOtherInstancesCount);
+    CPPUNIT_TEST(loadedFailureDomainGetsNoSpill);
     CPPUNIT_TEST(coldTargetGetsNothingWhileAWarmOneCanTakeIt);
     CPPUNIT_TEST(coldTargetGetsFlowsOnlyFromPermittedInstances);
     CPPUNIT_TEST(permitEnds);
@@ -70,11 +71,21 @@
                            {TargetActivity{.token = tokenOf(TargetNumber{1}), .flows = 10}});
         auto counts = this->openMany(10);
         CPPUNIT_ASSERT_EQUAL(10, counts.at(TargetNumber{2}));
-        noteRemoteActivity(this->fixture.board, {});
+        forgetRemoteActivity(this->fixture.board);
         counts = this->openMany(4, 2000);
         CPPUNIT_ASSERT_EQUAL(4, counts.at(TargetNumber{1}));
     }
 
+    // Instances of every failure domain see their own full and the others empty of their own flows.
+    void loadedFailureDomainGetsNoSpill()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-b")});
+        noteGroupLoads(this->fixture.board,
+                       {GroupLoad{.group = ServiceDomain{"orders", "dar-b"}, .flows = 400, .slots = 2}});
+        auto const counts = this->openMany(200);
+        CPPUNIT_ASSERT_EQUAL(200, counts.at(TargetNumber{1}));
+    }
+
     void coldTargetGetsNothingWhileAWarmOneCanTakeIt()
     {
         RegisteredTarget cold = testTarget(1, "dar-a");
--- /dev/null
+++ b/Tests/Soak/world.py
@@ -0,0 +1,348 @@
+"""Stand-ins of the soak: routers, callers and targets that speak the platform's packets, on loopback addresses.
+
+Every machine has an address of its own in 127.0.0.0/8. Checks look only at what callers and targets see.
+"""
+
+import asyncio
+import hashlib
+import json
+import random
+import struct
+import time
+
+PACKET_PORT = 8172  # All callers and entries; the platform uses one number.
+READY_PORT = 8167
+CONTROL_PORT = 8166
+TARGET_PORT = 8080
+HEADER = struct.Struct(">HIIHHB3xIIII")  # Length, addresses, ports, flags, sequence, acknowledgement, token, sum.
+SYN, FIN, ACK, RST = 1, 4, 16, 128
+TARGET_SUM = 7  # Any sum that is not 0 marks what a target sent; a reset of the system has 0.
+
+CALM_S = 4.0  # Promises with a time bound hold for instances without a fault for so long.
+DRAIN_S = 3.0
+EVACUATE_S = 5.0
+PROPAGATION_S = 3.0
+HEARTBEAT_S = 0.4
+
+
+def number_of(address):
+    a, b, c, d = (int(part) for part in address.split("."))
+    return a << 24 | b << 16 | c << 8 | d
+
+
+class Violations:
+    """What was promised and not kept."""
+
+    def __init__(self, log):
+        self.log = log
+        self.found = []
+
+    def add(self, rule, text):
+        line = f"{rule}: {text}"
+        self.found.append(line)
+        self.log(f"VIOLATION {line}")
+
+
+class Faults:
+    """When each machine, and the control side as a whole, was disturbed last."""
+
+    def __init__(self):
+        self.last = {}
+        self.active = set()
+
+    def note(self, *names):
+        for name in names:
+            self.last[name] = time.monotonic()
+
+    def begin(self, *names):
+        self.active.update(names)
+        self.note(*names)
+
+    def end(self, *names):
+        self.active.difference_update(names)
+        self.note(*names)
+
+    def is_calm(self, *names):
+        now = time.monotonic()
+        return not self.active.intersection(names) and all(now - self.last.get(name, 0) > CALM_S for name in names)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, handler):
+        self.handler = handler
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, address):
+        self.handler(data, address)
+
+
+async def open_datagrams(address, port, handler):
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_datagram_endpoint(lambda: Datagrams(handler), local_addr=(address, port))
+    return protocol.transport
+
+
+async def http_call(address, port, method, path, body=b"", timeout=1.0):
+    """Status, headers and body; status 0 if there was no whole answer in time."""
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(address, port)
+        try:
+            head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+            await writer.drain()
+            raw = await reader.read(-1)
+        finally:
+            writer.close()
+        head, _, content = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin1").split("\r\n")
+        headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:])}
+        if int(headers.get("content-length", "0")) != len(content):
+            return 0, {}, b""
+        return int(lines[0].split()[1]), headers, content
+
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, ValueError, IndexError):
+        return 0, {}, b""
+
+
+class Target:
+    """One start of a target: it answers requests whole and once, and announces itself."""
+
+    def __init__(self, world, address, domain, service):
+        self.world = world
+        self.address, self.domain, self.service = address, domain, service
+        self.number = random.getrandbits(40) | 1
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.sequence = 0
+        self.drain_acknowledged = None
+        self.flows = {}
+        self.is_alive = False
+        self.tasks = []
+
+    async def start(self):
+        self.transport = await open_datagrams(self.address, TARGET_PORT, self.receive)
+        self.listener = await asyncio.start_server(self.health, self.address, TARGET_PORT)
+        self.is_alive = True
+        self.world.targets[self.number] = self
+        self.tasks.append(asyncio.create_task(self.announce()))
+
+    async def health(self, reader, writer):
+        await reader.read(1024)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+        writer.close()
+
+    def crash(self):
+        self.is_alive = False
+        self.transport.close()
+        self.listener.close()
+        for task in self.tasks:
+            task.cancel()
+
+    async def announce(self):
+        while self.is_alive:
+            await self.beat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def beat(self):
+        self.sequence += 1
+        body = json.dumps(
+            {"service": self.service, "address": f"{self.address}:{TARGET_PORT}", "zone": self.domain, "version": "v1",
+             "concurrency": 2, "state": self.state, "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born})
+        for control in random.sample(self.world.controls, len(self.world.controls)):
+            if self.world.is_cut(self.domain, control.domain):
+                continue
+            status, _, _ = await http_call(control.address, CONTROL_PORT, "POST",
+                                           f"/Instances.Heartbeat/i-{self.number:010x}", body.encode())
+            if status == 200:
+                return True
+        return False
+
+    async def leave(self):
+        """A planned end: draining until it is acknowledged, then the rest of the drain, then the end."""
+        self.state = "draining"
+        while self.is_alive and not await self.beat():
+            await asyncio.sleep(0.3)
+        self.drain_acknowledged = time.monotonic()
+        await asyncio.sleep(DRAIN_S + 2)
+        for control in random.sample(self.world.controls, len(self.world.controls)):
+            status, _, _ = await http_call(control.address, CONTROL_PORT, "POST",
+                                           f"/Instances.Deregister/i-{self.number:010x}",
+                                           json.dumps({"born": self.born}).encode())
+            if status == 200:
+                break
+        self.crash()
+
+    def receive(self, data, sender):
+        if len(data) < 8 + HEADER.size or not self.is_alive:
+            return
+        if self.world.is_cut(self.domain, self.world.domain_of(sender[0])):
+            return
+        meant = int.from_bytes(data[:8], "big")
+        if meant not in (0, self.number):
+            return
+        packet = data[8:]
+        _, source, destination, sport, dport, flags, sequence, acknowledged, token, _ = HEADER.unpack(packet[:34])
+        key = (source, sport, destination, dport)
+        if flags & SYN:
+            self.check_open(destination, dport, sender[0])
+            self.flows.setdefault(key, random.getrandbits(31))
+            self.send(key, SYN | ACK, self.flows[key], sequence + 1, token, b"")
+        elif key not in self.flows:
+            self.check_foreign(key, sender[0])
+            self.send(key, RST, 0, sequence, token, b"")
+        elif flags & FIN:
+            del self.flows[key]
+        elif len(packet) > 34:
+            self.flows[key] += 1
+            self.send(key, ACK, self.flows[key], sequence + len(packet) - 34, token, packet[34:])
+
+    def send(self, key, flags, sequence, acknowledged, token, payload):
+        source, sport, destination, dport = key
+        head = HEADER.pack(len(payload), destination, source, dport, sport, flags, sequence & 0xFFFFFFFF,
+                           acknowledged & 0xFFFFFFFF, token, TARGET_SUM)
+        caller = ".".join(str(source >> shift & 255) for shift in (24, 16, 8, 0))
+        self.transport.sendto(head + payload, (caller, PACKET_PORT))
+
+    def check_open(self, destination, dport, entry):
+        now = time.monotonic()
+        allowed = self.world.services_ever.get((destination, dport), set())
+        if self.service not in allowed:
+            self.world.violations.add("ROUTE", f"{self.service} got a flow of {destination:x}:{dport} from {entry}")
+        if not self.world.faults.is_calm(entry, "control", self.domain):
+            return
+        if self.drain_acknowledged and now > self.drain_acknowledged + DRAIN_S:
+            self.world.violations.add("DRAIN", f"{self.address} got a flow from {entry} "
+                                               f"{now - self.drain_acknowledged:.1f} s after its drain was acknowledged")
+        out_since = self.world.taken_out.get(self.domain)
+        if out_since and now > out_since + EVACUATE_S:
+            self.world.violations.add("EVAC", f"{self.address} in {self.domain} got a flow from {entry}")
+
+    def check_foreign(self, key, entry):
+        owner = self.world.owner_of(key)
+        if owner and owner is not self and owner.is_alive and key in owner.flows:
+            self.world.violations.add("FLOW", f"a packet of a flow of {owner.address} reached {self.address} by {entry}")
+
+
+class Caller:
+    """Opens flows through the router of its failure domain and sends requests on them, one at a time."""
+
+    def __init__(self, world, address, domain):
+        self.world, self.address, self.domain = world, address, domain
+        self.flows = {}
+        self.next_port = 1024
+        self.served = self.failed = 0
+        self.recent = []
+
+    async def start(self):
+        self.transport = await open_datagrams(self.address, PACKET_PORT, self.receive)
+        self.task = asyncio.create_task(self.run())
+
+    def receive(self, data, _):
+        if len(data) < HEADER.size:
+            return
+        _, source, _, sport, dport, flags, sequence, acknowledged, token, checksum = HEADER.unpack(data[:34])
+        flow = self.flows.get((source, sport, dport))
+        if flow:
+            flow.put_nowait((flags, sequence, acknowledged, token, checksum, data[34:]))
+
+    def send(self, route, port, flags, sequence, acknowledged, token, payload=b""):
+        entry = self.world.route_packet(self, route, port)
+        if entry is None:
+            return
+        head = HEADER.pack(len(payload), number_of(self.address), route[0], port, route[1], flags,
+                           sequence & 0xFFFFFFFF, acknowledged & 0xFFFFFFFF, token, TARGET_SUM)
+        self.transport.sendto(head + payload, (entry.address, PACKET_PORT))
+
+    async def run(self):
+        while True:
+            route = random.choice(self.world.routes)
+            self.next_port += 1
+            key = (route[0], route[1], self.next_port)
+            self.flows[key] = asyncio.Queue()
+            try:
+                await self.use_flow(route, self.next_port, self.flows[key])
+            finally:
+                del self.flows[key]
+            await asyncio.sleep(random.uniform(0.02, 0.1))
+
+    def note(self, is_served):
+        self.served += is_served
+        self.failed += not is_served
+        self.recent.append((time.monotonic(), is_served))
+        del self.recent[:-200]
+
+    async def use_flow(self, route, port, inbox):
+        sequence = random.getrandbits(31)
+        self.sent = set()
+        opened = await self.open(route, port, inbox, sequence)
+        if opened is None:
+            self.note(False)
+            return
+        token, acknowledged = opened
+        sequence += 1
+        for _ in range(random.randint(1, 30)):
+            payload = hashlib.sha256(f"{self.address}{port}{sequence}".encode()).digest()
+            self.sent.add(payload)
+            answer = await self.request(route, port, inbox, sequence, acknowledged, token, payload)
+            self.note(answer is not None)
+            if answer is None:
+                return
+            acknowledged, token = answer
+            sequence += len(payload)
+            await asyncio.sleep(random.uniform(0.02, 0.3))
+        self.send(route, port, FIN | ACK, sequence, acknowledged, token)
+
+    async def open(self, route, port, inbox, sequence):
+        start = time.monotonic()
+        for copy, limit in enumerate((0.2, 0.6, 1.4)):
+            self.send(route, port, SYN, sequence, copy, 0)
+            while (left := start + limit - time.monotonic()) > 0:
+                try:
+                    flags, target_sequence, _, token, _, _ = await asyncio.wait_for(inbox.get(), left)
+                except asyncio.TimeoutError:
+                    break
+                if flags & RST:
+                    return None
+                if flags & SYN and flags & ACK:
+                    acknowledged = target_sequence + 1
+                    self.send(route, port, ACK, sequence + 1, acknowledged, token)
+                    return token, acknowledged
+        return None
+
+    async def request(self, route, port, inbox, sequence, acknowledged, token, payload):
+        limit = time.monotonic() + 2.0
+        pause = 0.2
+        while time.monotonic() < limit:
+            self.send(route, port, ACK, sequence, acknowledged, token, payload)
+            until = min(limit, time.monotonic() + pause)
+            while (left := until - time.monotonic()) > 0:
+                try:
+                    flags, answer_sequence, _, new_token, checksum, data = await asyncio.wait_for(inbox.get(), left)
+                except asyncio.TimeoutError:
+                    break
+                if flags & RST:
+                    self.check_reset(route, port, checksum)
+                    return None
+                if flags & SYN or not data:
+                    continue
+                if data == payload:
+                    return answer_sequence + len(data), new_token
+                # An answer that comes twice belongs to an earlier request of the same flow.
+                if data not in self.sent:
+                    self.world.violations.add("MIXED", f"{self.address}:{port} got the answer to another request")
+            pause *= 2
+        return None
+
+    def check_reset(self, route, port, checksum):
+        if checksum == TARGET_SUM:
+            return
+        owner = self.world.owner_of((number_of(self.address), port, route[0], route[1]))
+        if owner and owner.is_alive and self.world.faults.is_calm("control", self.domain, owner.domain, *(
+                entry.address for entry in self.world.entries)):
+            self.world.violations.add("FLOW", f"{self.address}:{port} was reset while {owner.address} serves it")
--- a/Utilities/almondwingctl/LogCommand.cpp
+++ b/Utilities/almondwingctl/LogCommand.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-ExitCode explainSavedLogs(std::vector<std::string> const &files, LogQuestion const &question, LogOutput output)
+ExitCode explainSavedLogs(std::vector<std::string> const &files, LogQuestion const &question,
+                          LogOutput output)
 {
     std::vector<LogLine> lines;
     for (std::string const &name : files) {
--- a/Utilities/almondwingctl/Main.cpp
+++ b/Utilities/almondwingctl/Main.cpp
@@ -176,9 +176,9 @@
     if (hash.parsed())
         return static_cast<int>(hashTokenFromInput());
     if (explainLog.parsed())
-        return static_cast<int>(explainSavedLogs(arguments.logFiles, arguments.question,
-                                                 arguments.output == "json" ? LogOutput::Json
-                                                                            : LogOutput::Text));
+        return static_cast<int>(
+            explainSavedLogs(arguments.logFiles, arguments.question,
+                             arguments.output == "json" ? LogOutput::Json : LogOutput::Text));
     auto const client = clientOptions(arguments);
     if (!client.ok()) {
         fmt::print(stderr, "almondwingctl: {}\n", std::string(client.status().message()));
