--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -203,13 +203,17 @@
     CheckResult const result = state == ListenerState::Accepts ? CheckResult::Accepted
         : state == ListenerState::Refuses                      ? CheckResult::Refused
                                                                : CheckResult::Silent;
-    this->router.noteCheck(checked.token, result, IoRuntime::now());
+    Timestamp const now = IoRuntime::now();
+    std::vector<FlowPacket> const waiting = this->router.noteCheck(checked.token, result, now);
     if (result == CheckResult::Accepted)
         return;
     this->report(Event::TargetUnreachable,
-                 fmt::format("target={:x} endpoint={} check={}", checked.target.number.value,
+                 fmt::format("target={:x} endpoint={} check={} waiting_flows={}", checked.target.number.value,
                              checked.target.endpoint.toString(),
-                             result == CheckResult::Refused ? "refused" : "silent"));
+                             result == CheckResult::Refused ? "refused" : "silent", waiting.size()));
+    for (FlowPacket const &packet : waiting)
+        this->act("", packet, ResetFlow{ResetReason::TargetUnreachable},
+                  PacketTimes{.arrivedAt = now, .now = now});
 }
 
 EntryCounters EntryNode::counters() const
--- a/Libraries/LibTokenRouting/TargetSigns.cpp
+++ b/Libraries/LibTokenRouting/TargetSigns.cpp
@@ -52,8 +52,10 @@
         isAlive = !next.isEstablished || isLater(packet.acknowledgement, next.acknowledgement);
         if (!next.isEstablished)
             establishedAfter = now - next.openedAt;
-        if (isAlive || !noted)
+        if (isAlive || !noted) {
             next.acknowledgement = packet.acknowledgement;
+            next.answeredAt = now;
+        }
         if (packet.length > 0 && isLater(packet.sequence, next.sequence)) {
             next.sequence = packet.sequence;
             next.sequenceSince = now;
--- a/Libraries/LibTokenRouting/TokenBoard.cpp
+++ b/Libraries/LibTokenRouting/TokenBoard.cpp
@@ -31,6 +31,20 @@
     return entry ? entry->value : TargetSigns{};
 }
 
+std::vector<FlowPacket> unansweredFlows(TokenBoard const &board, TargetToken token)
+{
+    std::vector<FlowPacket> flows;
+    board.flows.forEach([&](ConnectionKey const &key, FlowNote const &note) {
+        bool const isWaiting = note.isEstablished && note.sequenceSince > note.answeredAt;
+        if (note.target == token && isWaiting)
+            flows.push_back(FlowPacket{.flow = key,
+                                       .token = token,
+                                       .sequence = note.sequence,
+                                       .acknowledgement = note.acknowledgement});
+    });
+    return flows;
+}
+
 std::vector<TargetActivity> sweepFlows(TokenBoard &board, Timestamp now)
 {
     Duration const idleTimeout = board.view.select([](ServingView const &view) { return view.idleTimeout; });
--- a/Libraries/LibTokenRouting/TokenBoard.h
+++ b/Libraries/LibTokenRouting/TokenBoard.h
@@ -24,6 +24,7 @@
     std::uint32_t sequence = 0; // Of the latest packet with data.
     Timestamp sequenceSince; // When that sequence was seen first.
     std::uint32_t acknowledgement = 0; // Highest seen.
+    Timestamp answeredAt; // When that advanced last.
     bool isEstablished = false; // A packet after the opening one was seen.
 
     friend bool operator==(FlowNote const &, FlowNote const &) = default;
@@ -81,6 +82,9 @@
     TargetSigns signsOf(TargetToken token) const;
 };
 
+// Flows of the target whose latest data got no answer yet.
+std::vector<FlowPacket> unansweredFlows(TokenBoard const &board, TargetToken token);
+
 struct TargetActivity
 {
     TargetToken token;
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -100,9 +100,12 @@
     return forwardTo(*target);
 }
 
-void TokenRouter::noteCheck(TargetToken token, CheckResult result, Timestamp now)
+std::vector<FlowPacket> TokenRouter::noteCheck(TargetToken token, CheckResult result, Timestamp now)
 {
     almondwing::noteCheck(this->board, token, result, this->signSettings, now);
+    if (!this->board.signsOf(token).isUnreachableAt(now))
+        return {};
+    return unansweredFlows(this->board, token);
 }
 
 void TokenRouter::raiseSuspicion(ViewTarget const &target, ConnectionKey const &flow, Timestamp now)
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -6,6 +6,9 @@
 #include <LibTokenRouting/FlowPlacement.h>
 #include <LibTokenRouting/TargetSigns.h>
 
+#include <functional>
+#include <vector>
+
 namespace almondwing {
 
 struct TokenRouterHooks
@@ -27,8 +30,10 @@
 
     void permitColdFlows(Timestamp until);
 
-    // The result of a direct check that checkTarget asked for.
-    void noteCheck(TargetToken token, CheckResult result, Timestamp now);
+    // The result of a direct check that checkTarget asked for. Returns the flows to reset now: those that
+    // wait for an answer of a target that can't be reached. Their callers would wait for their next repeat
+    // otherwise.
+    std::vector<FlowPacket> noteCheck(TargetToken token, CheckResult result, Timestamp now);
 
 private:
     PacketDecision decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now);
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(repeatedDataOfAnActiveTargetIsNoSuspicion);
     CPPUNIT_TEST(refusalResetsFlowsForAShortTimeOnly);
     CPPUNIT_TEST(lifeEndsARefusal);
+    CPPUNIT_TEST(waitingFlowsOfAnUnreachableTargetAreResetAtOnce);
     CPPUNIT_TEST(silentCheckCountsOnlyWhenSeveralFlowsAreUnanswered);
     CPPUNIT_TEST(everyCopyOfAnOpenChoosesTheSameService);
     CPPUNIT_TEST_SUITE_END();
@@ -211,6 +212,32 @@
         CPPUNIT_ASSERT(is<ForwardPacket>(this->fixture.decide(dataPacket(1, token, 1001, 1))));
     }
 
+    // A caller whose time limit is shorter than its second repeat learns of the end in time to ask elsewhere.
+    // Idle flows stay: the link may heal.
+    void waitingFlowsOfAnUnreachableTargetAreResetAtOnce()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-a")});
+        TargetToken const token = tokenOf(TargetNumber{1});
+        for (std::uint16_t port = 1; port <= 3; ++port)
+            this->fixture.decide(dataPacket(port, token, 1001, 1));
+        this->fixture.now += 20ms;
+        for (std::uint16_t port = 1; port <= 3; ++port)
+            this->fixture.decide(dataPacket(port, token, 1101, 300));
+        this->fixture.now += 20ms;
+        FlowPacket answered = dataPacket(3, token, 1201, 600);
+        answered.length = 0; // Only acknowledges.
+        this->fixture.decide(answered);
+        this->fixture.now += 20ms;
+        FlowPacket const waiting = dataPacket(1, token, 1201, 300);
+        this->fixture.decide(waiting);
+        auto const reset = this->fixture.router.noteCheck(token, CheckResult::Refused, this->fixture.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reset.size());
+        CPPUNIT_ASSERT(reset[0].flow == waiting.flow);
+        CPPUNIT_ASSERT_EQUAL(300U, reset[0].acknowledgement);
+        CPPUNIT_ASSERT(
+            this->fixture.router.noteCheck(token, CheckResult::Accepted, this->fixture.now).empty());
+    }
+
     void lifeEndsARefusal()
     {
         this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-a")});
