Control: Hold a connection for each target that may be left

Cause: at 3,000 targets and 8 control instances each has more than 512 kept connections for heartbeats; further ones were closed at once, and the targets went from one instance to the next (264 new connections a second each, 98% of the share). Change: the bound of connections is a limit of the server; a control instance takes 3,600, within its 4,096 descriptors.

--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -41,6 +41,7 @@
 struct Shared
 {
     HttpServerHooks hooks;
+    HttpServerLimits limits;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> refused{0};
@@ -180,7 +181,7 @@
 
     void startSession(tcp::socket socket)
     {
-        if (this->shared->connections.fetch_add(1) >= maximumHttpConnections) {
+        if (this->shared->connections.fetch_add(1) >= this->shared->limits.connections) {
             this->shared->connections.fetch_sub(1);
             this->shared->connectionsRefused.fetch_add(1, std::memory_order_relaxed);
             return;
@@ -196,10 +197,11 @@
 };
 
 absl::StatusOr<std::shared_ptr<HttpServer>> HttpServer::open(IoRuntime &runtime, Endpoint local,
-                                                             HttpServerHooks hooks)
+                                                             HttpServerHooks hooks, HttpServerLimits limits)
 {
     auto state = std::make_shared<State>(runtime.context().asio);
     state->shared->hooks = std::move(hooks);
+    state->shared->limits = limits;
     beast::error_code error;
     state->acceptor.open(tcp::v4(), error);
     if (!error)
--- a/Libraries/LibFrontEnd/HttpServer.h
+++ b/Libraries/LibFrontEnd/HttpServer.h
@@ -25,6 +25,13 @@
 // Further connections are closed at once, so that a flood can't use up the memory of the process.
 constexpr std::size_t maximumHttpConnections = 512;
 
+struct HttpServerLimits
+{
+    std::size_t connections = maximumHttpConnections; // Further ones are closed at once.
+
+    friend bool operator==(HttpServerLimits const &, HttpServerLimits const &) = default;
+};
+
 struct HttpServerHooks
 {
     HttpHandler handle;
@@ -46,8 +53,8 @@
 class HttpServer
 {
 public:
-    static absl::StatusOr<std::shared_ptr<HttpServer>> open(IoRuntime &runtime, Endpoint local,
-                                                            HttpServerHooks hooks);
+    static absl::StatusOr<std::shared_ptr<HttpServer>>
+    open(IoRuntime &runtime, Endpoint local, HttpServerHooks hooks, HttpServerLimits limits = {});
 
     ~HttpServer();
     HttpServer(HttpServer const &) = delete;
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -27,6 +27,10 @@
 
 constexpr Duration replicationTimeout = 400ms;
 
+// Each target keeps a connection for its heartbeats; 3,000 targets may have one instance left in a failure. A
+// process of the platform has 4,096 descriptors.
+constexpr std::size_t largestControlConnections = 3600;
+
 // What walks over the whole registry is done this often.
 constexpr Duration refreshInterval = 500ms;
 
@@ -122,8 +126,9 @@
         .handle = [this](HttpRequest const &request,
                          HttpRespond const &respond) { this->handle(request, respond); },
         .reportRefusal = [this](std::string const &text) { this->report(Event::InputDropped, text); }};
-    this->http = TRY(HttpServer::open(
-        this->runtime, this->settings.controlListen.value_or(*this->settings.control), std::move(hooks)));
+    this->http =
+        TRY(HttpServer::open(this->runtime, this->settings.controlListen.value_or(*this->settings.control),
+                             std::move(hooks), HttpServerLimits{.connections = largestControlConnections}));
     return absl::OkStatus();
 }
 
