Control: Work out loads once for all entries

Change: loads and sums are made twice a second for all; an entry's differences walk over its own failure domain; entries with many targets report less often.

--- a/Libraries/LibNode/ActivityBoard.cpp
+++ b/Libraries/LibNode/ActivityBoard.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Entries and control instances report once a second.
-constexpr Duration reportLifetime = 3500ms;
+// Entries with many targets report every few seconds, others and control instances once a second.
+constexpr Duration reportLifetime = 12s;
 
 // Smaller changes do not alter where flows go.
 constexpr std::uint32_t toldTolerancePercent = 20;
@@ -26,10 +26,13 @@
 {
     TokenPlaces places;
     for (RegisteredTarget const &target : registry.all()) {
-        if (target.state == RegisteredState::Ready)
-            places.emplace(tokenOf(target.number),
-                           TokenPlace{.group = ServiceDomain{target.service, target.failureDomain},
-                                      .slots = target.slots});
+        if (target.state != RegisteredState::Ready)
+            continue;
+        ServiceDomain const group{target.service, target.failureDomain};
+        TargetToken const token = tokenOf(target.number);
+        places.groups.emplace(token, group);
+        places.tokensOfDomain[target.failureDomain].push_back(token);
+        places.slots[group] += target.slots;
     }
     return places;
 }
@@ -94,9 +97,10 @@
     if (told == Told::Nothing)
         report.told.clear();
     std::vector<TargetActivity> changes;
-    for (auto const &[token, place] : places) {
-        if (place.group.failureDomain != failureDomain)
-            continue;
+    auto const tokens = places.tokensOfDomain.find(failureDomain);
+    if (tokens == places.tokensOfDomain.end())
+        return changes;
+    for (TargetToken const token : tokens->second) {
         auto const total = this->totals.find(token);
         auto const own = report.flows.find(token);
         std::uint32_t const flows =
@@ -116,8 +120,8 @@
     GroupFlows flows;
     std::scoped_lock const lock(this->mutex);
     for (auto const &[token, count] : this->totals) {
-        if (auto const place = places.find(token); place != places.end())
-            flows[place->second.group] += count;
+        if (auto const group = places.groups.find(token); group != places.groups.end())
+            flows[group->second] += count;
     }
     return flows;
 }
@@ -132,11 +136,8 @@
                 flows[group] += count;
         }
     }
-    std::map<ServiceDomain, std::uint32_t> slots;
-    for (auto const &[token, place] : places)
-        slots[place.group] += place.slots;
     std::vector<GroupLoad> loads;
-    for (auto const &[group, count] : slots)
+    for (auto const &[group, count] : places.slots)
         loads.push_back(GroupLoad{.group = group, .flows = flows[group], .slots = count});
     return loads;
 }
--- a/Libraries/LibNode/ActivityBoard.h
+++ b/Libraries/LibNode/ActivityBoard.h
@@ -18,17 +18,16 @@
 
 namespace almondwing {
 
-// Where the tokens of the registry belong, made anew when the registry changes.
-struct TokenPlace
+// The tokens of the registry by where their targets are, made anew when the registry changes.
+struct TokenPlaces
 {
-    ServiceDomain group;
-    std::uint32_t slots = 1;
+    absl::flat_hash_map<TargetToken, ServiceDomain> groups;
+    std::map<std::string, std::vector<TargetToken>> tokensOfDomain;
+    std::map<ServiceDomain, std::uint32_t> slots;
 
-    friend bool operator==(TokenPlace const &, TokenPlace const &) = default;
+    friend bool operator==(TokenPlaces const &, TokenPlaces const &) = default;
 };
 
-using TokenPlaces = absl::flat_hash_map<TargetToken, TokenPlace>;
-
 TokenPlaces tokenPlaces(TargetRegistry const &registry);
 
 using GroupFlows = std::map<ServiceDomain, std::uint32_t>;
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -108,7 +108,7 @@
         SpreaderSettings{.self = *this->settings.control,
                          .failureDomain = this->settings.failureDomain,
                          .boot = this->boot},
-        this->registry, this->directory, this->activity, [this] { return this->views->places(); });
+        this->registry, this->directory, this->activity, [this] { return this->views->ownFlows(); });
     this->views = std::make_unique<ViewServer>(
         ViewServerSettings{.boot = this->boot,
                            .completeAfter = 2 * this->settings.heartbeatInterval + 1s,
--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -10,9 +10,9 @@
 RegistrySpreader::RegistrySpreader(IoRuntime &ioRuntime, SpreaderSettings spreaderSettings,
                                    TargetRegistry &targetRegistry, PeerDirectory &peerDirectory,
                                    ActivityBoard &activityBoard,
-                                   std::function<Cell<TokenPlaces>::Snapshot()> placesHook)
+                                   std::function<Cell<GroupFlows>::Snapshot()> ownFlowsHook)
     : runtime(ioRuntime), settings(std::move(spreaderSettings)), registry(targetRegistry),
-      directory(peerDirectory), activity(activityBoard), places(std::move(placesHook))
+      directory(peerDirectory), activity(activityBoard), ownFlows(std::move(ownFlowsHook))
 {
 }
 
@@ -67,7 +67,8 @@
         if (entry.changeGeneration <= link.confirmed && (isDirect || !hearsReporter))
             exchange.heard.push_back(entry.target);
     }
-    for (auto const &[group, flows] : this->activity.ownFlows(*this->places()))
+    auto const own = this->ownFlows();
+    for (auto const &[group, flows] : *own)
         exchange.flows.push_back(GroupLoad{.group = group, .flows = flows});
     return exchange;
 }
--- a/Libraries/LibNode/RegistrySpreader.h
+++ b/Libraries/LibNode/RegistrySpreader.h
@@ -36,7 +36,7 @@
 public:
     RegistrySpreader(IoRuntime &ioRuntime, SpreaderSettings spreaderSettings, TargetRegistry &targetRegistry,
                      PeerDirectory &peerDirectory, ActivityBoard &activityBoard,
-                     std::function<Cell<TokenPlaces>::Snapshot()> placesHook);
+                     std::function<Cell<GroupFlows>::Snapshot()> ownFlowsHook);
 
     // Sends what is due; called several times a second, and at once after a change.
     void spread(Timestamp now);
@@ -90,7 +90,7 @@
     TargetRegistry &registry;
     PeerDirectory &directory;
     ActivityBoard &activity;
-    std::function<Cell<TokenPlaces>::Snapshot()> places;
+    std::function<Cell<GroupFlows>::Snapshot()> ownFlows;
 
     std::mutex linksMutex; // Guards links.
     std::map<Endpoint, std::shared_ptr<PeerLink>> links;
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -16,8 +16,10 @@
 // A control instance answers within 400 ms even if nothing has changed.
 constexpr Duration requestTimeout = 800ms;
 
-// Flows are reported this often; at the size of 250 targets in a failure domain a report takes 3 KB at most.
-constexpr Duration activityInterval = 1s;
+// Flows are reported once a second, with many targets less often, so that a report of any size takes
+// about 1.5 KB a second.
+constexpr Duration shortestActivityInterval = 1s;
+constexpr Duration activityIntervalOfTarget = 10ms;
 
 // A permit is renewed with every answer.
 constexpr Duration coldPermitLifetime = 1s;
@@ -120,10 +122,12 @@
 std::optional<std::vector<TargetActivity>> ViewFollower::activityIfDue(Timestamp now)
 {
     bool const isNewSource = this->source->boot == 0;
-    if (!isNewSource && now - this->lastActivity < activityInterval)
+    if (!isNewSource && now < this->nextActivity)
         return std::nullopt;
-    this->lastActivity = now;
-    return this->hooks.activity();
+    std::vector<TargetActivity> activity = this->hooks.activity();
+    this->nextActivity =
+        now + std::max<Duration>(shortestActivityInterval, activity.size() * activityIntervalOfTarget);
+    return activity;
 }
 
 void ViewFollower::askLater()
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -83,7 +83,7 @@
     std::optional<Source> source;
     std::size_t nextCandidate = 0;
     Timestamp sourceSince;
-    Timestamp lastActivity;
+    Timestamp nextActivity; // No report of flows before that time, unless the source is new.
     std::optional<ConfigurationView> configuration; // Its revision never falls.
     std::set<TargetNumber> overdue;
 };
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -32,6 +32,9 @@
         this->tokenPlacesNow.update(
             [next = tokenPlaces(this->registry)](TokenPlaces const &) { return next; });
     this->activity.forgetOld(now);
+    auto const places = this->tokenPlacesNow.read();
+    this->ownFlowsNow.update([next = this->activity.ownFlows(*places)](auto const &) { return next; });
+    this->loadsNow.update([next = this->activity.loads(*places)](auto const &) { return next; });
 }
 
 void ViewServer::handle(ViewRequest request, HttpRespond respond, Timestamp now)
@@ -102,7 +105,8 @@
     reply.activity =
         this->activity.changesFor(request.instance, request.failureDomain, *tokens,
                                   isSameBoot ? ActivityBoard::Told::Earlier : ActivityBoard::Told::Nothing);
-    for (GroupLoad const &load : this->activity.loads(*tokens)) {
+    auto const loads = this->loadsNow.read();
+    for (GroupLoad const &load : *loads) {
         if (load.group.failureDomain != request.failureDomain)
             reply.loads.push_back(load);
     }
--- a/Libraries/LibNode/ViewServer.h
+++ b/Libraries/LibNode/ViewServer.h
@@ -46,7 +46,8 @@
     // Looks which heartbeats have stopped, and where the tokens belong; called once or twice a second.
     void refresh(Timestamp now);
 
-    Cell<TokenPlaces>::Snapshot places() const { return this->tokenPlacesNow.read(); }
+    // Flows of the entries that report here, as of the last refresh.
+    Cell<GroupFlows>::Snapshot ownFlows() const { return this->ownFlowsNow.read(); }
 
     // Answers all that wait, before a planned stop.
     void answerAll(Timestamp now);
@@ -73,6 +74,8 @@
     ActivityBoard &activity;
     Cell<std::vector<TargetNumber>> overdue; // As of the last refresh.
     Cell<TokenPlaces> tokenPlacesNow; // Likewise.
+    Cell<GroupFlows> ownFlowsNow; // Likewise.
+    Cell<std::vector<GroupLoad>> loadsNow; // Likewise.
     std::atomic<std::uint64_t> placesGeneration{0};
     Cell<std::optional<Timestamp>> leadsSince; // Nothing while another replica leads.
     std::mutex mutex; // Guards waiting.
--- a/Tests/LibNode/ActivityBoardTest.cpp
+++ b/Tests/LibNode/ActivityBoardTest.cpp
@@ -25,8 +25,10 @@
     static constexpr TargetToken near{7};
     static constexpr TargetToken far{8};
 
-    TokenPlaces const places{{near, TokenPlace{.group = ServiceDomain{"orders", "dar-a"}, .slots = 2}},
-                             {far, TokenPlace{.group = ServiceDomain{"orders", "dar-b"}, .slots = 4}}};
+    TokenPlaces const places{
+        .groups = {{near, ServiceDomain{"orders", "dar-a"}}, {far, ServiceDomain{"orders", "dar-b"}}},
+        .tokensOfDomain = {{"dar-a", {near}}, {"dar-b", {far}}},
+        .slots = {{ServiceDomain{"orders", "dar-a"}, 2}, {ServiceDomain{"orders", "dar-b"}, 4}}};
     ActivityBoard board;
 
     static std::vector<TargetActivity> flows(TargetToken token, std::uint32_t count)
@@ -81,7 +83,7 @@
     {
         this->board.reportEntry("entry-2", flows(near, 9), start);
         this->board.reportPeer("control-2", GroupFlows{{ServiceDomain{"orders", "dar-b"}, 8}}, start);
-        this->board.forgetOld(start + 4s);
+        this->board.forgetOld(start + 13s);
         CPPUNIT_ASSERT(this->changesFor("entry-1").empty());
         for (GroupLoad const &load : this->board.loads(this->places))
             CPPUNIT_ASSERT_EQUAL(0U, load.flows);
