--- /dev/null
+++ b/Meta/test-soak.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the soak for a short time with one seed and with the seeds that once failed. Further arguments go to the soak.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+Meta/build.sh build
+regressions=$(grep -oE '^[0-9]+' Tests/Soak/seeds.txt)
+for seed in 7 $regressions; do
+    python3 Tests/Soak/soak.py --program build/platform/almondwing-node --seed "$seed" --seconds 15 "$@"
+done
