--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -125,13 +125,19 @@
                 HttpResponse{.status = 405, .body = "{\"error\":\"only GET and POST are supported\"}"});
             return;
         }
-        // The handler may take its time, for example until a change is committed.
-        this->stream.expires_never();
+        this->answering = Answering::InHandler;
         this->shared->hooks.handle(
             toRequest(received), [self = this->shared_from_this()](HttpResponse response) {
-                boost::asio::post(self->stream.get_executor(),
-                                  [self, response = std::move(response)] { self->write(response); });
+                // An answer that is given within the handler is written at once, without another turn of the
+                // loop.
+                boost::asio::dispatch(self->stream.get_executor(),
+                                      [self, response = std::move(response)] { self->write(response); });
             });
+        // The handler may take its time, for example until a change is committed.
+        if (this->answering == Answering::InHandler) {
+            this->answering = Answering::Later;
+            this->stream.expires_never();
+        }
     }
 
     void write(HttpResponse const &response)
@@ -145,6 +151,7 @@
         this->message->keep_alive(this->parser->is_done() && this->parser->get().keep_alive());
         this->message->prepare_payload();
         this->stream.expires_after(std::chrono::duration_cast<std::chrono::seconds>(httpIdleTimeout));
+        this->answering = Answering::Done;
         http::async_write(this->stream, *this->message,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                               if (!error && self->message->keep_alive())
@@ -152,7 +159,11 @@
                           });
     }
 
+    // Whether the present request is answered.
+    enum class Answering : std::uint8_t { Done, InHandler, Later };
+
     beast::tcp_stream stream;
+    Answering answering = Answering::Done;
     std::shared_ptr<Shared> shared;
     std::string client;
     beast::flat_buffer buffer;
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -67,8 +67,9 @@
         (peer.failureDomain == this->failureDomain ? own : others).push_back(endpoint);
     // Entries that prefer different instances outside their failure domain share the load.
     if (!others.empty())
-        std::ranges::rotate(
-            others, others.begin() + static_cast<std::ptrdiff_t>(hashText(this->instance) % others.size()));
+        std::rotate(others.begin(),
+                    others.begin() + static_cast<std::ptrdiff_t>(hashText(this->instance) % others.size()),
+                    others.end());
     own.insert(own.end(), others.begin(), others.end());
     return own;
 }
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -24,7 +24,7 @@
 
 void ViewServer::refresh(Timestamp now)
 {
-    std::vector<TargetNumber> const silent = this->registry.overdue(now);
+    std::vector<TargetNumber> silent = this->registry.overdue(now);
     if (silent != *this->overdue.read())
         this->overdue.update([&silent](auto const &) { return silent; });
     std::uint64_t const generation = this->registry.changeGeneration();
--- a/Libraries/LibTokenRouting/TokenBoard.cpp
+++ b/Libraries/LibTokenRouting/TokenBoard.cpp
@@ -63,8 +63,9 @@
             active.try_emplace(token, 0);
     }
     std::vector<TargetActivity> activity;
-    for (auto const &[token, flows] : active) {
-        board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
+    for (auto const &[token, count] : active) {
+        std::uint32_t const flows = count;
+        board.signs.update(token, [flows](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
             TargetSigns next = signs.value_or(TargetSigns{});
             next.activeFlows = flows;
             return next;
