Nodes: Follow a log that has no configuration yet

Cause: an entry kept the revision of the log only with a configuration, so a control instance answered each request at once before the first one, and the entries asked without a pause. Change: the revision is taken over in any case.

--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -173,8 +173,7 @@
     std::set<TargetNumber> const nowOverdue(reply.overdue.begin(), reply.overdue.end());
     isChanged |= std::exchange(this->overdue, nowOverdue) != nowOverdue;
     std::uint64_t const known = this->configuration ? this->configuration->revision : 0;
-    if (reply.configuration && reply.configuration->revision > known
-        && reply.configuration->configuration.version != 0) {
+    if (reply.configuration && reply.configuration->revision > known) {
         this->configuration = reply.configuration;
         isChanged = true;
     }
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(packetsReachTheTargetAlsoThroughANewEntry);
     CPPUNIT_TEST(stoppingEntryIsNotReadyAndGoesOnForwarding);
     CPPUNIT_TEST(undecodableDatagramsAreCounted);
+    CPPUNIT_TEST(logWithoutConfigurationIsFollowedToo);
     CPPUNIT_TEST_SUITE_END();
 
     struct Path
@@ -146,6 +147,26 @@
         });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, entry.counters().forwarded);
     }
+
+    // Guards against an entry that asks again and again without a pause: a control instance answers at once
+    // while the entry does not know the revision of its log, also before the first configuration.
+    void logWithoutConfigurationIsFollowedToo()
+    {
+        NodeFixture fixture(1);
+        EntryNode entry(fixture.running.runtime,
+                        NodeSettings{.instance = "entry",
+                                     .failureDomain = "dar-a",
+                                     .packets = freeEndpointOf<boost::asio::ip::udp>(),
+                                     .readiness = freeEndpoint(),
+                                     .seeds = fixture.seeds},
+                        testPacketAdapter(), [](Event, std::string const &) {});
+        CPPUNIT_ASSERT(entry.open().ok());
+        entry.start();
+        NodeFixture::waitUntil("the entry knows the revision",
+                               [&] { return entry.freshness().revision > 0; });
+        CPPUNIT_ASSERT(!entry.isReady());
+        fixture.running.stop();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryNodeTest);
