--- a/Tests/LibFrontEnd/LogExplanationTest.cpp
+++ b/Tests/LibFrontEnd/LogExplanationTest.cpp
@@ -19,25 +19,24 @@
     return lines;
 }
 
+// A line at the given second of 10:00.
+std::string lineAt(std::string const &second, std::string const &name, std::string const &instance,
+                   std::string const &fields)
+{
+    return "time=2026-12-04T10:00:" + second + "Z event=AW1500 name=" + name
+        + " severity=information instance=" + instance + " " + fields;
+}
+
 std::vector<LogLine> someLog()
 {
     return parseAll(
-        {"time=2026-12-04T10:00:03.000Z event=AW1501 name=FlowReset severity=information instance=entry-1 "
-         "caller=100.64.0.7:40001 reason=target-unreachable",
-         "time=2026-12-04T10:00:01.000Z event=AW1500 name=FlowPlaced severity=information instance=entry-1 "
-         "caller=100.64.0.7:40001 target=7f",
-         "time=2026-12-04T10:00:02.000Z event=AW1410 name=TargetUnreachable severity=warning "
-         "instance=entry-2 "
-         "target=7f check=silent",
-         "time=2026-12-04T10:00:02.500Z event=AW1410 name=TargetUnreachable severity=warning "
-         "instance=entry-2 "
-         "target=8f check=silent",
-         "time=2026-12-04T10:00:02.700Z event=AW1271 name=ViewChanged severity=information instance=entry-1 "
-         "revision=4",
-         "time=2026-12-04T10:00:02.700Z event=AW1271 name=ViewChanged severity=information instance=entry-2 "
-         "revision=4",
-         "time=2026-12-04T10:00:05.000Z event=AW1500 name=FlowPlaced severity=information instance=entry-2 "
-         "caller=100.64.0.70:40001 target=9f"});
+        {lineAt("03.000", "FlowReset", "entry-1", "caller=100.64.0.7:40001 reason=target-unreachable"),
+         lineAt("01.000", "FlowPlaced", "entry-1", "caller=100.64.0.7:40001 target=7f"),
+         lineAt("02.000", "TargetUnreachable", "entry-2", "target=7f check=silent"),
+         lineAt("02.500", "TargetUnreachable", "entry-2", "target=8f check=silent"),
+         lineAt("02.700", "ViewChanged", "entry-1", "revision=4"),
+         lineAt("02.700", "ViewChanged", "entry-2", "revision=4"),
+         lineAt("05.000", "FlowPlaced", "entry-2", "caller=100.64.0.70:40001 target=9f")});
 }
 
 } // namespace
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -184,7 +184,7 @@
     {
         auto const end = std::chrono::steady_clock::now() + hangLimit;
         for (std::size_t next = 0; std::chrono::steady_clock::now() < end; ++next) {
-            HttpResponse const response = this->call(next % this->controls.size(), path, body);
+            HttpResponse response = this->call(next % this->controls.size(), path, body);
             if (response.isSuccess())
                 return response;
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
