--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -156,7 +156,8 @@
                      fmt::format("term={} applied={}", this->log->contact()->status.term,
                                  this->log->contact()->status.appliedIndex));
     std::vector<Endpoint> keep = this->settings.seeds;
-    for (Replica const &voter : this->log->contact()->status.voters) {
+    auto const contact = this->log->contact(); // Kept, because the loop looks into it.
+    for (Replica const &voter : contact->status.voters) {
         if (auto const endpoint = Endpoint::parse(voter.instance); endpoint.ok()) {
             keep.push_back(*endpoint);
             this->directory.learn(*endpoint, "");
@@ -393,7 +394,8 @@
 // Another replica leads, or it is not known whether the change was committed. Callers try again then.
 HttpResponse ControlServer::refusal(HttpRequest const &request, absl::Status const &status) const
 {
-    auto const &leader = this->log->contact()->status.leader;
+    auto const contact = this->log->contact();
+    auto const &leader = contact->status.leader;
     std::string const reason(status.message());
     if (absl::IsInvalidArgument(status))
         return errorResponse(413, reason);
--- a/Tests/LibFrontEnd/HttpLinkTest.cpp
+++ b/Tests/LibFrontEnd/HttpLinkTest.cpp
@@ -96,6 +96,7 @@
         CPPUNIT_ASSERT(second.ok());
         CPPUNIT_ASSERT_EQUAL(std::string("answer"), second->body);
         running.stop();
+        unanswered.clear(); // They hold connections of the runtime.
     }
 
     void unreachableServerIsUnavailable()
@@ -132,6 +133,7 @@
                       });
         CPPUNIT_ASSERT_EQUAL(5, refused.load());
         running.stop();
+        unanswered.clear(); // They hold connections of the runtime.
     }
 
     void listenerIsAcceptedOrRefused()
--- a/Tests/LibTokenRouting/TokenFixture.h
+++ b/Tests/LibTokenRouting/TokenFixture.h
@@ -60,6 +60,7 @@
               bool isComplete = true)
     {
         std::vector<ViewTarget> viewTargets;
+        viewTargets.reserve(targets.size());
         for (RegisteredTarget const &target : targets)
             viewTargets.push_back(ViewTarget{.target = target});
         ServingView view = makeServingView(this->configuration, std::move(viewTargets), std::move(takenOut));
