Nodes: Let calls not own the link that owns them

Cause: LeakSanitizer found links that were kept by their own calls when the runtime ended (LibNode tests under AddressSanitizer, exit 1 before, 0 after). Change: the callbacks hold no link, or a weak pointer.

--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -93,11 +93,13 @@
                         .body = formatRegistryExchange(exchange, now),
                         .timeout = this->settings.callTimeout,
                         .connectTimeout = nodeConnectTimeout};
-    link->link.call(
-        call,
-        [this, link, endpoint = peer.endpoint, upTo, isRound](absl::StatusOr<HttpResponse> const &response) {
-            this->noteReply(endpoint, *link, upTo, isRound, response);
-        });
+    // The link owns its calls, so a call does not own the link.
+    link->link.call(call,
+                    [this, weak = std::weak_ptr(link), endpoint = peer.endpoint, upTo,
+                     isRound](absl::StatusOr<HttpResponse> const &response) {
+                        if (auto const current = weak.lock())
+                            this->noteReply(endpoint, *current, upTo, isRound, response);
+                    });
 }
 
 void RegistrySpreader::noteReply(Endpoint peer, PeerLink &link, std::uint64_t sentUpTo, bool wasRound,
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -114,10 +114,9 @@
                         .body = formatViewRequest(request),
                         .timeout = requestTimeout,
                         .connectTimeout = nodeConnectTimeout};
-    this->source->link->call(call,
-                             [this, link = this->source->link](absl::StatusOr<HttpResponse> const &response) {
-                                 this->queue.post([this, response] { this->handleReply(response); });
-                             });
+    this->source->link->call(call, [this](absl::StatusOr<HttpResponse> const &response) {
+        this->queue.post([this, response] { this->handleReply(response); });
+    });
 }
 
 std::optional<std::vector<TargetActivity>> ViewFollower::activityIfDue(Timestamp now)
