Soak: End the run itself, so that no task keeps it waiting

Change: the verdict is printed and the process ends inside the run; an early end of a run is a violation; test-soak.sh bounds a run to 300 s.

--- a/Meta/test-soak.sh
+++ b/Meta/test-soak.sh
@@ -6,5 +6,5 @@
 Meta/build.sh build
 regressions=$(grep -oE '^[0-9]+' Tests/Soak/seeds.txt)
 for seed in 7 $regressions; do
-    python3 Tests/Soak/soak.py --program build/platform/almondwing-node --seed "$seed" --seconds 15 "$@"
+    timeout --signal=INT 300 python3 Tests/Soak/soak.py --program build/platform/almondwing-node --seed "$seed" --seconds 15 "$@"
 done
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -18,7 +18,6 @@
 import shutil
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 
@@ -453,17 +452,23 @@
     random.seed(arguments.seed)
     soak = Soak(arguments)
     soak.log(f"seed {arguments.seed}, logs in {soak.folder}")
+    asyncio.run(play(soak, arguments.seed))
+
+
+async def play(soak, seed):
+    """Ends the process itself: a task that swallows its cancellation would keep the loop waiting for ever."""
     try:
-        asyncio.run(soak.run())
-    finally:
-        soak.end()
+        await soak.run()
+    except Exception as error:  # Anything that ends the run early is a failure of the run.
+        soak.violations.add("SOAK", f"the run ended early: {error!r}")
+    soak.end()
     for line in soak.violations.found:
         print(line)
-    print(f"seed {arguments.seed}: {len(soak.violations.found)} violations")
+    print(f"seed {seed}: {len(soak.violations.found)} violations", flush=True)
     if not soak.violations.found:
         shutil.rmtree(soak.folder)
-    return 1 if soak.violations.found else 0
+    os._exit(1 if soak.violations.found else 0)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
