--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -212,7 +212,7 @@
         CPPUNIT_ASSERT(is<ForwardPacket>(this->fixture.decide(dataPacket(1, token, 1001, 1))));
     }
 
-    // A caller whose time limit is shorter than its second repeat learns of the end in time to ask elsewhere.
+    // A caller whose deadline is shorter than its second repeat learns of the end in time to ask elsewhere.
     // Idle flows stay: the link may heal.
     void waitingFlowsOfAnUnreachableTargetAreResetAtOnce()
     {
