Routing: Let every message that goes around wait, also searches

Only messages on the way to the dispatcher of the table waited 100 ms before each further hop. Each request is first searched for at the targets that claim its bucket, and the end of a search goes back to its origin; if that has just given up the target, and the new dispatcher has not learnt of it, the two pass the message to each other 24 times within milliseconds.

Ruled out: slower spreading of ramp levels alone; the message never lived long enough to see any change.

Change: the pause applies to every purpose. It is reached only where a receiver does not agree with the sender, so an orderly search is not slowed down.

Figures: InstanceTest::requestThatWentAroundInAnyWayWaits fails without the change and passes with it.

--- a/Libraries/LibInstance/CallerRouter.cpp
+++ b/Libraries/LibInstance/CallerRouter.cpp
@@ -99,8 +99,7 @@
 
 bool CallerRouter::waitForTables(Forwarded &forwarded, Timestamp now)
 {
-    bool const isPaced = forwarded.purpose == ForwardPurpose::Deliver && forwarded.hops > hopsWithoutPause;
-    if (!isPaced || this->blackboard.unsettledMessages.size() >= unsettledBound)
+    if (forwarded.hops <= hopsWithoutPause || this->blackboard.unsettledMessages.size() >= unsettledBound)
         return false;
     --forwarded.hops; // Counted when it is passed on.
     this->blackboard.unsettledMessages.write(
--- a/Tests/LibInstance/InstanceTest.cpp
+++ b/Tests/LibInstance/InstanceTest.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(requestsRunAtMostOnceWhenInstancesDie);
     CPPUNIT_TEST(loneInstanceRefusesNonIdempotentRequests);
     CPPUNIT_TEST(requestThatWentAroundIsRefused);
+    CPPUNIT_TEST(requestThatWentAroundInAnyWayWaits);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a rolling restart of the instances that breaks flows.
@@ -305,6 +306,30 @@
         CPPUNIT_ASSERT(cluster.notRun.at(3) == Reason::NoSecondCopy);
         CPPUNIT_ASSERT(!cluster.instanceAt(0).callerRouter().hasUnsettledMessages());
     }
+
+    // Guards against a request that is refused within milliseconds because it went around in another way than
+    // to the dispatcher of the table: as a search, at the end of one, or as a spill.
+    void requestThatWentAroundInAnyWayWaits()
+    {
+        InstanceCluster cluster(1, {"zvolen", "banska"}, 1);
+        cluster.advance(3s);
+        cluster.addTarget("cab-0", "banska");
+        cluster.advance(5s);
+        std::uint64_t number = 0;
+        for (auto const purpose :
+             {ForwardPurpose::Search, ForwardPurpose::SearchEnded, ForwardPurpose::Spill}) {
+            Forwarded const passed{.purpose = purpose,
+                                   .hops = maximumHops - 1,
+                                   .candidates = {},
+                                   .message = makeRequest(cluster, ++number, 1)};
+            cluster.instanceAt(0).handlePeerMessage(InstanceId{1}, {}, passed, cluster.time());
+            cluster.advance(75ms);
+            CPPUNIT_ASSERT(!cluster.notRun.contains(number));
+            CPPUNIT_ASSERT(cluster.instanceAt(0).callerRouter().hasUnsettledMessages());
+            cluster.advance(150ms);
+            CPPUNIT_ASSERT(!cluster.instanceAt(0).callerRouter().hasUnsettledMessages());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceTest);
