Nodes: Tell of packets given up, reads, and evacuations in force

Three had none: a held packet whose time was over was lost without a line or a count, a read of the configuration was not told, and a failure domain taken out left a line only on the instance that answered the operator. An unknown failure domain was refused without a line.

Change: HeldPackets gives expired packets back, and the entry tells and counts them (reason=hold-expired). Reads and refusals of unknown domains are answered with ChangeAnswered. DomainServiceChanged (AW1253) tells on each control instance when a domain goes out or comes back. DecisionLinesTest checks ten kinds of lines of entries and control instances: once, and with their fields.

Conclusion: each decision of a node that touches a flow or changes what it believes has its line.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -77,6 +77,8 @@
     EventDescription{Event::ChangeAnswered, Severity::Information, "ChangeAnswered",
                      "A change or read of an operator was answered; the status says how.",
                      "Look at the reason if the status is not 200."},
+    EventDescription{Event::DomainServiceChanged, Severity::Information, "DomainServiceChanged",
+                     "A failure domain is taken out, or back in service, on this instance.", "None."},
     EventDescription{Event::ViewSourceLost, Severity::Warning, "ViewSourceLost",
                      "An entry no longer follows a control instance and asks another one.",
                      "Look at the control instance and the network to it if it repeats."},
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -37,6 +37,7 @@
     ConfigurationInForce = 1250,
     ConfigurationRefused = 1251,
     ChangeAnswered = 1252,
+    DomainServiceChanged = 1253,
     ViewSourceLost = 1270,
     ViewChanged = 1271,
     ViewSourceFollowed = 1272,
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -226,8 +226,17 @@
 {
     Timestamp const now = IoRuntime::now();
     for (std::string const &domain : before.view.domainsTakenOut) {
-        if (!after.view.domainsTakenOut.contains(domain))
-            this->registry.treatAsCold(domain, now + after.view.configuration.coldPhase + returnMargin);
+        if (after.view.domainsTakenOut.contains(domain))
+            continue;
+        this->registry.treatAsCold(domain, now + after.view.configuration.coldPhase + returnMargin);
+        this->report(Event::DomainServiceChanged,
+                     fmt::format("domain={} service=in revision={}", logValue(domain), after.view.revision));
+    }
+    for (std::string const &domain : after.view.domainsTakenOut) {
+        if (!before.view.domainsTakenOut.contains(domain))
+            this->report(
+                Event::DomainServiceChanged,
+                fmt::format("domain={} service=out revision={}", logValue(domain), after.view.revision));
     }
     if (before.state.version != after.state.version)
         this->report(Event::ConfigurationInForce,
@@ -350,7 +359,9 @@
     if (auto const *const domain = std::get_if<TakeOutDomain>(&call.change); domain != nullptr
         && std::ranges::find(this->settings.failureDomains, domain->failureDomain)
             == this->settings.failureDomains.end()) {
-        respond(errorResponse(404, "unknown failure domain: " + domain->failureDomain));
+        this->answer(request,
+                     InvalidCall{.status = 404, .reason = "unknown failure domain: " + domain->failureDomain},
+                     respond);
         return;
     }
     this->log->submit(call.change,
@@ -374,12 +385,14 @@
 void ControlServer::answer(HttpRequest const &request, ReadCall const &, HttpRespond const &respond)
 {
     this->log->read([this, request, respond](absl::StatusOr<DocumentState> const &state) {
-        if (!state.ok())
-            respond(this->refusal(request, state.status()));
-        else if (state->version == 0)
-            respond(errorResponse(503, "no configuration was accepted yet"));
-        else
-            respond(HttpResponse{.body = *state->text});
+        HttpResponse const response = !state.ok() ? this->refusal(request, state.status())
+            : state->version == 0                 ? errorResponse(503, "no configuration was accepted yet")
+                                                  : HttpResponse{.body = *state->text};
+        this->report(Event::ChangeAnswered,
+                     fmt::format("path={} bytes={} status={} version={} reason={}", request.path,
+                                 request.body.size(), response.status, state.ok() ? state->version : 0,
+                                 logValue(std::string(state.status().message()))));
+        respond(response);
     });
 }
 
--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -161,10 +161,7 @@
                     PacketTimes times)
 {
     if (!this->held.hold(datagram, times.arrivedAt, times.now)) {
-        this->drops.fetch_add(1, std::memory_order_relaxed);
-        this->report(
-            Event::PacketDropped,
-            fmt::format("{} reason=hold-full token={:x}", this->describe(packet), packet.token.value));
+        this->noteDropped(packet, "hold-full");
         return;
     }
     if (times.now > times.arrivedAt)
@@ -174,18 +171,27 @@
 }
 
 void EntryNode::act(std::string_view, FlowPacket const &packet, DropPacket const &decision, PacketTimes)
+{
+    this->noteDropped(packet, nameOf(decision.reason));
+}
+
+void EntryNode::noteDropped(FlowPacket const &packet, std::string_view reason)
 {
     this->drops.fetch_add(1, std::memory_order_relaxed);
     this->report(Event::PacketDropped,
-                 fmt::format("{} reason={} token={:x}", this->describe(packet),
-                             std::string(nameOf(decision.reason)), packet.token.value));
+                 fmt::format("{} reason={} token={:x}", this->describe(packet), reason, packet.token.value));
 }
 
 // A packet that still can't be decided is held again until its time is over.
 void EntryNode::retryHeld()
 {
     Timestamp const now = IoRuntime::now();
-    for (HeldPackets::Held const &entry : this->held.takeAll(now))
+    HeldPackets::Taken const taken = this->held.takeAll(now);
+    for (HeldPackets::Held const &entry : taken.expired) {
+        if (auto const packet = this->adapter.decode(entry.packet))
+            this->noteDropped(*packet, "hold-expired");
+    }
+    for (HeldPackets::Held const &entry : taken.waiting)
         this->handleDatagram(entry.packet, PacketTimes{.arrivedAt = entry.arrivedAt, .now = now});
 }
 
--- a/Libraries/LibNode/EntryNode.h
+++ b/Libraries/LibNode/EntryNode.h
@@ -81,6 +81,7 @@
     void act(std::string_view datagram, FlowPacket const &packet, DropPacket const &decision,
              PacketTimes times);
     void retryHeld();
+    void noteDropped(FlowPacket const &packet, std::string_view reason);
     void noteEstablished(FlowPacket const &packet, ViewTarget const &target, Duration after);
     std::string describe(FlowPacket const &packet) const;
     void checkTarget(ViewTarget const &target);
--- a/Libraries/LibNode/HeldPackets.h
+++ b/Libraries/LibNode/HeldPackets.h
@@ -35,11 +35,16 @@
         Timestamp arrivedAt;
     };
 
+    struct Taken
+    {
+        std::vector<Held> waiting; // Oldest first.
+        std::vector<Held> expired; // Waited too long and are lost.
+    };
+
     // Returns false if no more packets fit; the packet is lost then.
     bool hold(std::string_view packet, Timestamp arrivedAt, Timestamp now);
 
-    // Takes out all packets that have not waited too long; the others are lost.
-    std::vector<Held> takeAll(Timestamp now);
+    Taken takeAll(Timestamp now);
 
     std::size_t size() const;
 
@@ -47,6 +52,7 @@
     HeldPacketLimits limits;
     mutable std::mutex mutex; // Guards held.
     std::deque<Held> held; // Oldest first; at most limits.packets.
+    std::vector<Held> expired; // Made room in `held` and were not taken yet; empty after takeAll().
 };
 
 } // namespace almondwing
--- /dev/null
+++ b/Tests/LibNode/DecisionLinesTest.cpp
@@ -0,0 +1,253 @@
+// Tests of the lines from which a failure is explained afterwards: each decision and each change of what an
+// instance believes is reported once, with what it was decided by.
+
+#include "EntryPath.h"
+
+namespace almondwing {
+
+namespace {
+
+void requireFields(std::string const &line, std::vector<std::string> const &names)
+{
+    for (std::string const &name : names) {
+        std::string const start = fmt::format("{}=", name);
+        bool const isThere =
+            line.starts_with(start) || line.find(fmt::format(" {}", start)) != std::string::npos;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} is missing in: {}", name, line), isThere);
+    }
+}
+
+std::string targetRecord(std::uint64_t sequence, RegisteredState state)
+{
+    Timestamp const now{1h};
+    return formatTargets(
+        {RegisteredTarget{.number = TargetNumber{9},
+                          .service = "orders",
+                          .failureDomain = "dar-a",
+                          .endpoint = Endpoint{.address = 0x7f000001, .port = 9},
+                          .state = state,
+                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = sequence},
+                          .heardAt = now,
+                          .coldUntil = now}},
+        now);
+}
+
+} // namespace
+
+class DecisionLinesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DecisionLinesTest);
+    CPPUNIT_TEST(placedFlow);
+    CPPUNIT_TEST(resetFlow);
+    CPPUNIT_TEST(droppedPacket);
+    CPPUNIT_TEST(heldPacketThatExpires);
+    CPPUNIT_TEST(unreachableTarget);
+    CPPUNIT_TEST(viewAndItsSource);
+    CPPUNIT_TEST(changesAndReads);
+    CPPUNIT_TEST(failureDomainTakenOut);
+    CPPUNIT_TEST(targetFromStartToEnd);
+    CPPUNIT_TEST(contactWithTheMajority);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Fields that name the flow and the view that it was decided by.
+    static std::vector<std::string> withFlow(std::vector<std::string> names)
+    {
+        names.insert(names.end(), {"caller", "service", "revision", "view_age_ms", "token"});
+        return names;
+    }
+
+    // Waits for the first report; that there is no second one is checked when the test has done more.
+    static std::string firstOf(RecordedEvents const &events, Event event, std::string const &text)
+    {
+        NodeFixture::waitUntil(text.c_str(), [&] { return events.count(event, text) > 0; });
+        return events.of(event, text).front();
+    }
+
+    void placedFlow()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        EntryNode const &entry = path.startEntry(packets, freeEndpoint());
+        std::uint32_t const token = tokenOf(TargetNumber{7}).value;
+        path.send(packets, "open 11 0");
+        std::string const placed = firstOf(events, Event::FlowPlaced, "caller=127.0.0.1:11 ");
+        requireFields(placed, withFlow({"target", "endpoint", "copy"}));
+        CPPUNIT_ASSERT_MESSAGE(placed, placed.find("target=7 ") != std::string::npos);
+        path.send(packets, fmt::format("data 11 {}", token));
+        requireFields(firstOf(events, Event::FlowEstablished, "caller=127.0.0.1:11 "),
+                      {"service", "revision", "view_age_ms", "target", "after_ms"});
+        path.send(packets, fmt::format("data 11 {}", token));
+        NodeFixture::waitUntil("the last packet is forwarded",
+                               [&] { return entry.counters().forwarded >= 3; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowPlaced));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowEstablished));
+    }
+
+    void resetFlow()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        EntryNode const &entry = path.startEntry(packets, freeEndpoint());
+        path.send(packets, "elsewhere 12 0");
+        requireFields(firstOf(events, Event::FlowReset, "reason=no-route"), withFlow({"reason"}));
+        path.fixture.callUntilDone("/leave", "7");
+        NodeFixture::waitUntil("the entry knows the end", [&] {
+            path.send(packets, fmt::format("data 13 {}", tokenOf(TargetNumber{7}).value));
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            return events.count(Event::FlowReset, "reason=target-ended") > 0;
+        });
+        path.send(packets, "open 14 0");
+        requireFields(firstOf(events, Event::FlowReset, "reason=no-target"), withFlow({"reason"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowReset, "reason=no-route"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowReset, "reason=no-target"));
+        CPPUNIT_ASSERT_EQUAL(events.count(Event::FlowReset),
+                             static_cast<std::size_t>(entry.counters().reset));
+    }
+
+    void droppedPacket()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        EntryNode const &entry = path.startEntry(packets, freeEndpoint());
+        path.send(packets, "foreign 15 0");
+        requireFields(firstOf(events, Event::PacketDropped, "reason=foreign"), withFlow({"reason"}));
+        path.send(packets, "data 15 0");
+        requireFields(firstOf(events, Event::PacketDropped, "reason=unknown-flow"), withFlow({"reason"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.count(Event::PacketDropped));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, entry.counters().dropped);
+    }
+
+    // Guards against a packet that waits for a view and is given up without a word.
+    void heldPacketThatExpires()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        EntryNode const &entry = path.openEntry(packets, freeEndpoint(), {freeEndpoint()});
+        path.send(packets, "open 16 0");
+        requireFields(firstOf(events, Event::PacketHeld, "caller=127.0.0.1:16 "), withFlow({}));
+        requireFields(firstOf(events, Event::PacketDropped, "reason=hold-expired"), withFlow({"reason"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::PacketHeld));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::PacketDropped));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry.counters().held);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, entry.counters().dropped);
+    }
+
+    // The target takes packets, but nothing listens at its port: a check is refused.
+    void unreachableTarget()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        path.startEntry(packets, freeEndpoint());
+        path.send(packets, "open 17 0");
+        firstOf(events, Event::FlowPlaced, "caller=127.0.0.1:17 ");
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        path.send(packets, "open 17 0 1");
+        requireFields(firstOf(events, Event::TargetSuspected, "target=7 "), {"target", "endpoint"});
+        requireFields(firstOf(events, Event::TargetUnreachable, "target=7 "),
+                      {"target", "endpoint", "check", "waiting_flows"});
+        path.send(packets, fmt::format("data 18 {}", tokenOf(TargetNumber{7}).value));
+        requireFields(firstOf(events, Event::FlowReset, "reason=target-unreachable"), withFlow({"reason"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::TargetSuspected));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::TargetUnreachable));
+    }
+
+    void viewAndItsSource()
+    {
+        EntryPath path;
+        RecordedEvents const &events = path.fixture.events;
+        path.startEntry(freeEndpointOf<boost::asio::ip::udp>(), freeEndpoint());
+        requireFields(firstOf(events, Event::ViewSourceFollowed, "source="),
+                      {"source", "in_contact", "complete"});
+        requireFields(firstOf(events, Event::ViewChanged, "targets=1 "),
+                      {"revision", "version", "targets", "overdue", "taken_out", "complete"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::ViewSourceFollowed));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, events.count(Event::ViewSourceLost));
+        path.fixture.stopControl(0);
+        requireFields(firstOf(events, Event::ViewSourceLost, "source="), {"source", "reason"});
+    }
+
+    void changesAndReads()
+    {
+        NodeFixture fixture(1);
+        RecordedEvents const &events = fixture.events;
+        std::vector<std::string> const fields{"path", "bytes", "status", "reason"};
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        requireFields(firstOf(events, Event::ChangeAnswered, "status=200 "), fields);
+        requireFields(firstOf(events, Event::ConfigurationInForce, "version=3 "),
+                      {"version", "routes", "revision"});
+        CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, "/replace", "nonsense").status);
+        requireFields(firstOf(events, Event::ChangeAnswered, "status=400 "), fields);
+        fixture.callUntilDone("/read", "");
+        std::string const read = firstOf(events, Event::ChangeAnswered, "path=/read ");
+        requireFields(read, fields);
+        CPPUNIT_ASSERT_MESSAGE(read, read.find("version=3 ") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             events.count(Event::ChangeAnswered, "path=/replace bytes=23 status=200 "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::ChangeAnswered, "status=400 "));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::ConfigurationInForce));
+    }
+
+    // Guards against an evacuation that leaves no trace on the instances that did not answer the operator.
+    void failureDomainTakenOut()
+    {
+        NodeFixture fixture(3);
+        RecordedEvents const &events = fixture.events;
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        fixture.callUntilDone("/take-out", "dar-b");
+        NodeFixture::waitUntil("all have taken it out", [&] {
+            return events.count(Event::DomainServiceChanged, "domain=dar-b service=out revision=") == 3;
+        });
+        fixture.callUntilDone("/bring-back", "dar-b");
+        NodeFixture::waitUntil("all have brought it back", [&] {
+            return events.count(Event::DomainServiceChanged, "domain=dar-b service=in revision=") == 3;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, events.count(Event::DomainServiceChanged));
+        CPPUNIT_ASSERT_EQUAL(404U, fixture.call(0, "/take-out", "nowhere").status);
+        firstOf(events, Event::ChangeAnswered, "status=404 ");
+    }
+
+    void targetFromStartToEnd()
+    {
+        NodeFixture fixture(1);
+        RecordedEvents const &events = fixture.events;
+        fixture.callUntilDone("/heartbeat", targetRecord(1, RegisteredState::Ready));
+        fixture.callUntilDone("/heartbeat", targetRecord(2, RegisteredState::Ready));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::TargetAnnounced));
+        requireFields(events.of(Event::TargetAnnounced).front(),
+                      {"target", "service", "domain", "endpoint", "state", "born", "sequence", "cold_ms"});
+        fixture.callUntilDone("/heartbeat", targetRecord(3, RegisteredState::Draining));
+        std::vector<std::string> const answered{"target", "state", "holders", "known", "status"};
+        requireFields(firstOf(events, Event::EndAnswered, "state=draining "), answered);
+        fixture.callUntilDone("/leave", "9");
+        requireFields(firstOf(events, Event::EndAnswered, "state=gone "), answered);
+        requireFields(firstOf(events, Event::TargetGone, "target=9 "), {"target", "born"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.count(Event::TargetAnnounced));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.count(Event::EndAnswered));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::TargetGone));
+    }
+
+    void contactWithTheMajority()
+    {
+        NodeFixture fixture(3);
+        RecordedEvents const &events = fixture.events;
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        NodeFixture::waitUntil("all are in contact",
+                               [&] { return events.count(Event::MajorityContactRegained) >= 3; });
+        std::size_t const lost = events.count(Event::MajorityContactLost);
+        fixture.stopControl(1);
+        fixture.stopControl(2);
+        NodeFixture::waitUntil("the last one has lost contact",
+                               [&] { return events.count(Event::MajorityContactLost) > lost; });
+        CPPUNIT_ASSERT_EQUAL(lost + 1, events.count(Event::MajorityContactLost));
+        requireFields(events.of(Event::MajorityContactLost).back(), {"term", "applied"});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecisionLinesTest);
+
+} // namespace almondwing
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -1,44 +1,9 @@
 // Tests of an entry between a caller and a target over loopback. The packets of the test are texts.
 
-#include "NodeFixture.h"
-
-#include <fmt/format.h>
-
-#include <sstream>
+#include "EntryPath.h"
 
 namespace almondwing {
 
-namespace {
-
-// "open|data port token" and nothing else.
-std::optional<FlowPacket> decodeTestPacket(std::string_view text)
-{
-    std::istringstream words{std::string(text)};
-    std::string kind;
-    std::uint16_t port = 0;
-    std::uint32_t token = 0;
-    if (!(words >> kind >> port >> token))
-        return std::nullopt;
-    return FlowPacket{.flow = ConnectionKey{.caller = Endpoint{.address = 0x7f000001, .port = port},
-                                            .service = Endpoint{.address = 0xc6120001, .port = 443}},
-                      .kind = kind == "open" ? PacketKind::Open : PacketKind::Data,
-                      .token = TargetToken{token}};
-}
-
-PacketAdapter testPacketAdapter()
-{
-    return PacketAdapter{.decode = decodeTestPacket,
-                         .encodeForward =
-                             [](std::string_view packet, ForwardPacket const &decision) {
-                                 return fmt::format("{}:{}:{}", decision.target.value, decision.token.value,
-                                                    packet);
-                             },
-                         .encodeReset = [](FlowPacket const &) { return std::string("reset"); },
-                         .readinessPath = "/ready"};
-}
-
-} // namespace
-
 class EntryNodeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EntryNodeTest);
@@ -48,71 +13,9 @@
     CPPUNIT_TEST(logWithoutConfigurationIsFollowedToo);
     CPPUNIT_TEST_SUITE_END();
 
-    struct Path
-    {
-        Path()
-        {
-            auto opened = UdpSocket::open(this->fixture.running.runtime, anyLoopbackPort);
-            CPPUNIT_ASSERT(opened.ok());
-            this->target = *opened;
-            this->target->receive([this](Endpoint, std::string_view datagram) {
-                std::scoped_lock const lock(this->mutex);
-                this->received.emplace_back(datagram);
-            });
-            this->fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
-            Timestamp const now{1h};
-            RegisteredTarget const record{.number = TargetNumber{7},
-                                          .service = "orders",
-                                          .failureDomain = "dar-a",
-                                          .endpoint = this->target->localEndpoint(),
-                                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = 1},
-                                          .heardAt = now,
-                                          .coldUntil = now};
-            this->fixture.callUntilDone("/heartbeat", formatTargets({record}, now));
-        }
-
-        ~Path() { this->fixture.running.stop(); }
-        Path(Path const &) = delete;
-        Path &operator=(Path const &) = delete;
-
-        EntryNode &startEntry(Endpoint packets, Endpoint readiness)
-        {
-            this->entries.push_back(std::make_unique<EntryNode>(this->fixture.running.runtime,
-                                                                NodeSettings{.instance = "entry",
-                                                                             .failureDomain = "dar-a",
-                                                                             .packets = packets,
-                                                                             .readiness = readiness,
-                                                                             .seeds = this->fixture.seeds},
-                                                                testPacketAdapter(),
-                                                                [](Event, std::string const &) {}));
-            EntryNode &entry = *this->entries.back();
-            CPPUNIT_ASSERT(entry.open().ok());
-            entry.start();
-            NodeFixture::waitUntil("the entry is ready", [&] { return entry.isReady(); });
-            return entry;
-        }
-
-        // Sends until the target has got a datagram with this text.
-        void requireDelivered(Endpoint to, std::string const &packet, std::string const &expected)
-        {
-            NodeFixture::waitUntil(expected.c_str(), [&] {
-                this->target->send(to, packet);
-                std::this_thread::sleep_for(std::chrono::milliseconds(20));
-                std::scoped_lock const lock(this->mutex);
-                return std::ranges::find(this->received, expected) != this->received.end();
-            });
-        }
-
-        NodeFixture fixture{1};
-        std::mutex mutex; // Guards received.
-        std::vector<std::string> received;
-        std::shared_ptr<UdpSocket> target;
-        std::vector<std::unique_ptr<EntryNode>> entries;
-    };
-
     void packetsReachTheTargetAlsoThroughANewEntry()
     {
-        Path path;
+        EntryPath path;
         std::uint32_t const token = tokenOf(TargetNumber{7}).value;
         Endpoint const first = freeEndpointOf<boost::asio::ip::udp>();
         path.startEntry(first, freeEndpoint());
@@ -126,7 +29,7 @@
 
     void stoppingEntryIsNotReadyAndGoesOnForwarding()
     {
-        Path path;
+        EntryPath path;
         Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode &entry = path.startEntry(packets, freeEndpoint());
         entry.beginStop();
@@ -137,7 +40,7 @@
 
     void undecodableDatagramsAreCounted()
     {
-        Path path;
+        EntryPath path;
         Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode &entry = path.startEntry(packets, freeEndpoint());
         NodeFixture::waitUntil("it is counted", [&] {
--- a/Tests/LibNode/HeldPacketsTest.cpp
+++ b/Tests/LibNode/HeldPacketsTest.cpp
@@ -21,7 +21,7 @@
         HeldPackets held{HeldPacketLimits{}};
         CPPUNIT_ASSERT(held.hold("first", start, start));
         CPPUNIT_ASSERT(held.hold("second", start + 1ms, start + 1ms));
-        auto const taken = held.takeAll(start + 2ms);
+        auto const taken = held.takeAll(start + 2ms).waiting;
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, taken.size());
         CPPUNIT_ASSERT(taken[0].packet == "first" && taken[1].packet == "second");
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, held.size());
@@ -33,9 +33,11 @@
     {
         HeldPackets held{HeldPacketLimits{}};
         held.hold("packet", start, start);
-        for (auto const &entry : held.takeAll(start + 900ms))
+        for (auto const &entry : held.takeAll(start + 900ms).waiting)
             held.hold(entry.packet, entry.arrivedAt, start + 900ms);
-        CPPUNIT_ASSERT(held.takeAll(start + 1100ms).empty());
+        auto const taken = held.takeAll(start + 1100ms);
+        CPPUNIT_ASSERT(taken.waiting.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.expired.size());
     }
 
     void numberIsBounded()
@@ -46,6 +48,11 @@
         CPPUNIT_ASSERT(!held.hold("3", start, start));
         // Those that have waited too long make room.
         CPPUNIT_ASSERT(held.hold("4", start + 2s, start + 2s));
+        // Each that is lost is told once.
+        auto const taken = held.takeAll(start + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, taken.waiting.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, taken.expired.size());
+        CPPUNIT_ASSERT(held.takeAll(start + 2s).expired.empty());
     }
 };
 
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -5,6 +5,7 @@
 
 #include <LibFrontEnd/IoContext.h>
 
+#include "RecordedEvents.h"
 #include "RunningRuntime.h"
 
 #include <LibFrontEnd/HttpClient.h>
@@ -155,7 +156,7 @@
         process->server = std::make_unique<ControlServer>(
             process->running.runtime, settings,
             ControlAdapter{.decode = decodeTestCall, .parseDocument = parseTestDocument},
-            [](Event, std::string const &) {});
+            this->events.reporter());
         CPPUNIT_ASSERT(process->server->open().ok());
         process->server->start();
         this->controls[index] = std::move(process);
@@ -203,6 +204,7 @@
         }
     }
 
+    RecordedEvents events; // Of all instances.
     std::vector<std::unique_ptr<TestFolder>> folders;
     std::vector<Endpoint> seeds;
     std::vector<std::unique_ptr<ControlProcess>> controls; // Null while an instance is down.
