Bench: Measure decisions by token and the memory of targets

Change: a new experiment, `tokens`. The growth of the heap, which the experiment `memory` measured, is a file of its own now.

--- a/Utilities/almondwing-bench/Experiments.h
+++ b/Utilities/almondwing-bench/Experiments.h
@@ -15,6 +15,9 @@
 // The heap bytes of each entry of the blackboard.
 Report runMemoryExperiment(std::uint64_t seed);
 
+// The cost of decisions by token, and the memory of targets and flows at an entry and a control instance.
+Report runTokenExperiment(std::uint64_t seed);
+
 // Broken flows, imbalance and control bytes during planned changes, beside plain rendezvous hashing.
 Report runBalanceExperiment(std::uint64_t seed);
 
--- a/Utilities/almondwing-bench/Main.cpp
+++ b/Utilities/almondwing-bench/Main.cpp
@@ -26,6 +26,7 @@
     return {
         Experiment{"packets", "Cost of the decision about a packet", runPacketExperiment},
         Experiment{"memory", "Heap bytes of the entries of the blackboard", runMemoryExperiment},
+        Experiment{"tokens", "Decisions by token, and memory of targets and flows", runTokenExperiment},
         Experiment{"balance", "Planned changes, beside plain rendezvous hashing", runBalanceExperiment},
         Experiment{"membership", "Cost of idle membership over the size", runMembershipExperiment},
         Experiment{"configuration", "Spread, storage and traffic of configuration changes",
--- a/Utilities/almondwing-bench/Measuring.cpp
+++ b/Utilities/almondwing-bench/Measuring.cpp
@@ -46,4 +46,17 @@
     return Slope{.slope = slope, .intercept = meanY - slope * meanX, .lowest = lowest, .highest = highest};
 }
 
+Spread spreadOfCalls(int rounds, std::size_t count, std::function<void(std::size_t)> const &call)
+{
+    std::vector<double> samples;
+    samples.reserve(static_cast<std::size_t>(rounds));
+    for (int round = 0; round < rounds; ++round) {
+        auto const start = threadTime();
+        for (std::size_t index = 0; index < count; ++index)
+            call(index);
+        samples.push_back(static_cast<double>((threadTime() - start).count()) / static_cast<double>(count));
+    }
+    return spreadOf(std::move(samples));
+}
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/Measuring.h
+++ b/Utilities/almondwing-bench/Measuring.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <functional>
 #include <span>
 #include <vector>
 
@@ -47,4 +49,8 @@
 // At least two points, with ascending x.
 Slope slopeOf(std::span<Point const> points);
 
+// Median and extremes of the times that `call` takes, in nanoseconds for each of `count` calls, over `rounds`
+// rounds. `call` gets the number of the call in its round.
+Spread spreadOfCalls(int rounds, std::size_t count, std::function<void(std::size_t)> const &call);
+
 } // namespace almondwing
--- a/Utilities/almondwing-bench/MemoryExperiment.cpp
+++ b/Utilities/almondwing-bench/MemoryExperiment.cpp
@@ -1,15 +1,13 @@
 // Measures the heap bytes of the entries of an instance's blackboard.
 
 #include "Experiments.h"
-#include "Measuring.h"
+#include "HeapGrowth.h"
 
 #include <LibRouting/RoutingController.h>
 #include <LibState/Blackboard.h>
 
 #include <fmt/format.h>
 
-#include <malloc.h>
-
 #include <functional>
 #include <memory>
 #include <random>
@@ -24,12 +22,6 @@
 constexpr std::size_t targetsOfService = 4; // About 4,500 targets of 1,100 services.
 constexpr std::size_t requestPayloadBytes = 200;
 
-double heapBytes()
-{
-    auto const info = mallinfo2();
-    return static_cast<double>(info.uordblks + info.hblkhd);
-}
-
 using Random = std::mt19937_64;
 
 struct Measured
@@ -144,24 +136,16 @@
 
 Report runMemoryExperiment(std::uint64_t seed)
 {
-    ReportTable table{.title = "Growth of the heap (mallinfo2) over the number of entries",
-                      .columns = {"entry", "sizes", "bytes for each", "range between neighbouring sizes",
-                                  "bytes at the largest size"}};
+    std::vector<GrowingState> states;
     for (Measured const &entry : measuredEntries()) {
-        std::vector<Point> points;
-        std::string sizes;
-        for (std::size_t const size : entry.sizes) {
-            points.push_back(Point{.x = static_cast<double>(size), .y = growthOf(entry, size, seed)});
-            sizes += fmt::format("{}{}", sizes.empty() ? "" : ", ", size);
-        }
-        Slope const slope = slopeOf(points);
-        table.rows.push_back({entry.name, sizes, fmt::format("{:.0f}", slope.slope),
-                              fmt::format("{:.0f} to {:.0f}", slope.lowest, slope.highest),
-                              fmt::format("{:.0f}", points.back().y)});
+        states.push_back(GrowingState{
+            .name = entry.name, .sizes = entry.sizes, .growth = [entry, seed](std::size_t count) {
+                return growthOf(entry, count, seed);
+            }});
     }
     return Report{.experiment = "memory",
                   .seed = seed,
-                  .tables = {table},
+                  .tables = {heapGrowthTable(states)},
                   .notes = {"Bytes as the allocator counts them, with its overhead and the hash tables' "
                             "arrays, whose growth in steps widens the ranges. The service table is the "
                             "routing view alone, without the target records on the blackboard."}};
