Platform: Keep the tests of the adapter and the soak in its folder

Cause: nothing outside platform/ should know the platform's names; the adapter's tests and the soak stood under Tests/ and use them.

--- a/Meta/test-soak.sh
+++ b/Meta/test-soak.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 
 Meta/build.sh build
-regressions=$(grep -oE '^[0-9]+' Tests/Soak/seeds.txt)
+regressions=$(grep -oE '^[0-9]+' platform/Soak/seeds.txt)
 for seed in 7 $regressions; do
-    timeout --signal=INT 300 python3 Tests/Soak/soak.py --program build/platform/almondwing-node --seed "$seed" --seconds 15 "$@"
+    timeout --signal=INT 300 python3 platform/Soak/soak.py --program build/platform/almondwing-node --seed "$seed" --seconds 15 "$@"
 done
