Settings: Say timeouts, the field's term, in two head comments

Cause: two head comments used the wording of the users' pages.

Change: two comments; no code.

Conclusion: a search for the phrase finds neither file any more.

--- a/Libraries/LibMembership/MembershipSettings.h
+++ b/Libraries/LibMembership/MembershipSettings.h
@@ -1,4 +1,4 @@
-// Settings and time limits of the membership protocol.
+// Settings and timeouts of the membership protocol.
 
 #pragma once
 
--- a/Libraries/LibTargets/TargetSettings.h
+++ b/Libraries/LibTargets/TargetSettings.h
@@ -1,4 +1,4 @@
-// Settings and time limits of target records and health.
+// Settings and timeouts of target records and health.
 
 #pragma once
 
