Node: Acknowledge a change only when the views show it

ReplicatedLog gave the result of a proposal inside the work on the log, and published what was applied after that work; between the two, on a busy machine, another thread answered a view from the state before.

Ruled out: a view from another replica (the test has one), a lost change (it is on the disk, and reads answer from the state machine itself, so confirmed reads were never older).

Change: results of proposals and reads are collected while the log works, and given after the state is published. The acknowledgement of a change therefore means that this instance answers views with it.

--- a/Libraries/LibNode/ReplicatedLog.cpp
+++ b/Libraries/LibNode/ReplicatedLog.cpp
@@ -46,9 +46,9 @@
                                   ProposalOutcome outcome) { this->resolveProposal(index, outcome); },
         .resolveRead =
             [this](ReadToken token, absl::Status const &status) {
-                auto const waiting = this->reads.extract(token);
+                auto waiting = this->reads.extract(token);
                 if (!waiting.empty())
-                    waiting.mapped()(status);
+                    this->answer(std::move(waiting.mapped()), status);
             },
         .knownInstances = this->hooks.knownInstances,
         .mayBootstrap = this->hooks.mayBootstrap,
@@ -95,11 +95,18 @@
 void ReplicatedLog::publish()
 {
     LogContact next{.status = this->core->status(), .isInContact = this->core->isInContact(IoRuntime::now())};
-    if (next == *this->published.read())
-        return;
-    LogIndex const applied = next.status.appliedIndex;
-    this->published.update([&next](LogContact const &) { return next; });
-    this->hooks.publish(applied);
+    if (next != *this->published.read()) {
+        LogIndex const applied = next.status.appliedIndex;
+        this->published.update([&next](LogContact const &) { return next; });
+        this->hooks.publish(applied);
+    }
+    for (auto const &give : std::exchange(this->answers, {}))
+        give();
+}
+
+void ReplicatedLog::answer(std::function<void(absl::Status const &)> result, absl::Status status)
+{
+    this->answers.emplace_back([result = std::move(result), status = std::move(status)] { result(status); });
 }
 
 absl::Status ReplicatedLog::notOpen() const
@@ -132,7 +139,7 @@
         }
         // A single voter commits inside propose().
         if (this->core->status().appliedIndex >= proposed->index)
-            result(absl::OkStatus());
+            this->answer(result, absl::OkStatus());
         else
             this->proposals.insert_or_assign(proposed->index, result);
         this->publish();
@@ -141,12 +148,13 @@
 
 void ReplicatedLog::resolveProposal(LogIndex index, ProposalOutcome outcome)
 {
-    auto const waiting = this->proposals.extract(index);
+    auto waiting = this->proposals.extract(index);
     if (waiting.empty())
         return;
-    waiting.mapped()(outcome == ProposalOutcome::Committed
-                         ? absl::OkStatus()
-                         : absl::UnknownError("the leader lost its majority or its disk meanwhile"));
+    this->answer(std::move(waiting.mapped()),
+                 outcome == ProposalOutcome::Committed
+                     ? absl::OkStatus()
+                     : absl::UnknownError("the leader lost its majority or its disk meanwhile"));
 }
 
 void ReplicatedLog::confirmRead(std::function<void(absl::Status const &)> result)
--- a/Libraries/LibNode/ReplicatedLog.h
+++ b/Libraries/LibNode/ReplicatedLog.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace almondwing {
 
@@ -57,7 +58,7 @@
     void start();
 
     // FailedPrecondition: another replica leads, or the storage failed; Unavailable: no leader is known.
-    // Nothing was done then. Unknown: the entry may yet be committed.
+    // Nothing was done then. Unknown: the entry may yet be committed. OK comes after publish().
     void propose(std::string payload, std::function<void(absl::Status const &)> result);
 
     // OK once the state machine reflects everything that was committed before the call.
@@ -74,6 +75,7 @@
     void tick();
     void runOnQueue(std::function<void(ReplicationCore &)> work);
     void publish();
+    void answer(std::function<void(absl::Status const &)> result, absl::Status status);
     void resolveProposal(LogIndex index, ProposalOutcome outcome);
     absl::Status notOpen() const;
 
@@ -89,6 +91,8 @@
     Timestamp nextOpen;
     std::map<LogIndex, std::function<void(absl::Status const &)>> proposals;
     std::map<ReadToken, std::function<void(absl::Status const &)>> reads;
+    // Given when the state that they tell of is published, so that whoever asks after an answer sees it.
+    std::vector<std::function<void()>> answers;
 };
 
 } // namespace almondwing
--- a/Tests/LibNode/DocumentLogTest.cpp
+++ b/Tests/LibNode/DocumentLogTest.cpp
@@ -2,12 +2,17 @@
 
 #include "NodeFixture.h"
 
+#include <LibNode/DocumentLog.h>
+
+#include <absl/cleanup/cleanup.h>
+
 namespace almondwing {
 
 class DocumentLogTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(DocumentLogTest);
     CPPUNIT_TEST(acceptedConfigurationIsReadBackAsSent);
+    CPPUNIT_TEST(acknowledgedConfigurationIsInTheViewAlready);
     CPPUNIT_TEST(lowerOrEqualVersionIsAcknowledgedAndChangesNothing);
     CPPUNIT_TEST(othersNameTheLeader);
     CPPUNIT_TEST(minorityAcknowledgesAndReadsNothing);
@@ -24,6 +29,37 @@
         CPPUNIT_ASSERT_EQUAL(std::string(first), fixture.callUntilDone("/read", "").body);
     }
 
+    // Guards against an entry that asks after the acknowledgement and is told what was before.
+    void acknowledgedConfigurationIsInTheViewAlready()
+    {
+        TestFolder const folder;
+        RecordedEvents events;
+        RunningRuntime running;
+        std::string const self = "198.18.0.2:9000";
+        DocumentLog log(running.runtime,
+                        ReplicatedLogSettings{.instance = self,
+                                              .dataFolder = folder.path,
+                                              .replication = {.controlInstances = {self},
+                                                              .admission = VoterAdmission::AnyInstance,
+                                                              .shortestElectionTimeout = 100ms,
+                                                              .longestElectionTimeout = 200ms}},
+                        DocumentLogHooks{.send = [](ReplicaEnvelope const &) {},
+                                         .knownInstances = [self] { return std::vector{self}; },
+                                         .mayBootstrap = [] { return true; },
+                                         .parse = parseTestDocument,
+                                         .changed = [](AppliedDocument const &, AppliedDocument const &) {},
+                                         .report = events.reporter()});
+        absl::Cleanup const stop = [&running] { running.stop(); };
+        log.start();
+        NodeFixture::waitUntil("the log has a leader",
+                               [&] { return log.contact()->status.role == ReplicaRole::Leader; });
+        std::promise<std::uint64_t> versionAtAcknowledgement;
+        log.submit(ReplaceDocument{.version = 3, .text = first}, [&](absl::Status const &status) {
+            versionAtAcknowledgement.set_value(status.ok() ? log.applied()->view.configuration.version : 0);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, valueOf(versionAtAcknowledgement.get_future()));
+    }
+
     // Guards against an older or other text under a version that is held.
     void lowerOrEqualVersionIsAcknowledgedAndChangesNothing()
     {
