StandIns: Repair a lost answer at the rate of the link

Cause: of the downloads of RestartTest beside load one had no outcome in 60 s and the others took 45 to 53 s, with 163 requests for 16,000 missing parts. The caller looked for progress once a second and asked for at most 100 parts only when there had been none, so a burst that overflowed its receive buffer came again at 100 parts in two seconds. It overflowed easily, because each part copied all pointers of the answer about eight times on the blackboard.

Ruled out: the dispatcher as the slow side (it sends what is asked for within milliseconds); larger requests (what one asks for must fit into a receive buffer).

Change: gaps are looked for each 100 ms from the first part on, and when what was asked for has arrived, the caller asks for the next parts at once. The parts are shared between the copies on the blackboard; one copy a part is left. When a kept answer is given up for lost is decided as before, by checks a second apart.

Before: an answer of 4 MB of which only the first part arrived is not whole after 5 s (new test CallerTest::answerThatWasLostAsAWholeIsRepairedInTime, simulated time). After: it is.

--- a/Libraries/LibStandIns/CallerBoard.h
+++ b/Libraries/LibStandIns/CallerBoard.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace almondwing {
@@ -42,6 +43,7 @@
     WorkOrder order;
     Duration deadline = 5s;
     Duration resendAfter = 1s; // Without progress.
+    Duration askForGapsAfter = 100ms; // Without a new part of an answer that has begun.
     Duration cancelAfter{}; // Requests still pending then are cancelled; zero cancels none.
     Duration grace = 2s; // How long after its deadline a request may still get its outcome.
 
@@ -72,12 +74,15 @@
     Timestamp endedAt{};
     std::size_t port = 0;
     std::uint32_t attempt = 1;
-    std::uint32_t resendRequests = 0; // ResendParts messages sent since the last new part.
+    std::uint32_t checksWithoutProgress = 0; // Since the last one that found a new part.
     CallerOutcome outcome = CallerOutcome::Pending;
     Reason reason = Reason::None;
-    std::map<std::uint64_t, AnswerAssembly> answers; // By try id; empty once the request has ended.
+    // By try id; empty once the request has ended. Shared, because the values on the blackboard are copied.
+    std::map<std::uint64_t, std::shared_ptr<AnswerAssembly const>> answers;
     std::size_t receivedParts = 0; // Of all tries.
     std::size_t partsAtLastCheck = 0;
+    std::size_t partsAtLastGapCheck = 0;
+    std::size_t partsToAskAgain = 0; // Once so many have arrived, what was asked for is there; zero: nothing.
 
     friend bool operator==(CallerRequest const &, CallerRequest const &) = default;
 };
--- a/Libraries/LibStandIns/CallerRequests.cpp
+++ b/Libraries/LibStandIns/CallerRequests.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-// Keeps a ResendParts message well within a datagram.
+// Keeps a ResendParts message well within a datagram, and what it asks for within a receive buffer.
 constexpr std::size_t maximumPartsAsked = 100;
 
-// After this many unanswered ResendParts the kept answer is assumed lost, and the request is sent again.
-constexpr std::uint32_t resendRequestsBeforeAttempt = 3;
+// After this many checks without progress the kept answer is assumed lost, and the request is sent again.
+constexpr std::uint32_t checksBeforeAttempt = 3;
 
 } // namespace
 
@@ -102,11 +102,11 @@
                 return known;
             hasProgress = known->receivedParts > known->partsAtLastCheck;
             known->partsAtLastCheck = known->receivedParts;
-            known->resendRequests = hasProgress ? 0 : known->resendRequests + 1;
+            known->checksWithoutProgress = hasProgress ? 0 : known->checksWithoutProgress + 1;
             isNewAttempt = !hasProgress
-                && (known->answers.empty() || known->resendRequests > resendRequestsBeforeAttempt);
+                && (known->answers.empty() || known->checksWithoutProgress > checksBeforeAttempt);
             known->attempt += isNewAttempt ? 1 : 0;
-            known->resendRequests = isNewAttempt ? 0 : known->resendRequests;
+            known->checksWithoutProgress = isNewAttempt ? 0 : known->checksWithoutProgress;
             return known;
         });
     if (!request || request->outcome != CallerOutcome::Pending)
@@ -114,19 +114,47 @@
     if (isNewAttempt) {
         count(this->board, [](CallerCounts &counts) { ++counts.requestResends; });
         this->send(this->hooks.now(), key, *request);
-    } else if (!hasProgress) {
-        this->askForParts(key, *request);
     }
     this->scheduleCheck(key);
 }
 
-void CallerRequests::askForParts(RequestKey const &key, CallerRequest const &request)
+void CallerRequests::checkGaps(RequestKey const &key)
 {
-    for (auto const &[tryId, answer] : request.answers) {
+    bool isSilent = false;
+    auto const request = this->board.requests.update(
+        key, [&](std::optional<CallerRequest> known) -> std::optional<CallerRequest> {
+            if (!known || known->outcome != CallerOutcome::Pending)
+                return known;
+            isSilent = known->receivedParts == known->partsAtLastGapCheck;
+            known->partsAtLastGapCheck = known->receivedParts;
+            return known;
+        });
+    if (!request || request->outcome != CallerOutcome::Pending)
+        return;
+    if (isSilent)
+        this->askForParts(key);
+    this->hooks.schedule(this->plan.askForGapsAfter, [this, key] { this->checkGaps(key); });
+}
+
+void CallerRequests::askForParts(RequestKey const &key)
+{
+    std::vector<ResendParts> messages;
+    auto const request = this->board.requests.update(
+        key, [&](std::optional<CallerRequest> known) -> std::optional<CallerRequest> {
+            if (!known || known->outcome != CallerOutcome::Pending)
+                return known;
+            messages.clear();
+            known->partsToAskAgain = known->receivedParts;
+            for (auto const &[tryId, answer] : known->answers) {
+                messages.push_back(ResendParts{
+                    .key = key, .tryId = tryId, .parts = answer->missingParts(maximumPartsAsked)});
+                known->partsToAskAgain += messages.back().parts.size();
+            }
+            return known;
+        });
+    for (ResendParts const &message : messages) {
         count(this->board, [](CallerCounts &counts) { ++counts.partResends; });
-        this->hooks.send(
-            request.port,
-            ResendParts{.key = key, .tryId = tryId, .parts = answer.missingParts(maximumPartsAsked)});
+        this->hooks.send(request->port, message);
     }
 }
 
@@ -142,14 +170,21 @@
 
 void CallerRequests::handlePart(Timestamp now, AnswerPart const &part)
 {
+    bool isFirst = false;
+    bool areAskedPartsThere = false;
     auto const request = this->board.requests.update(
         part.key, [&](std::optional<CallerRequest> known) -> std::optional<CallerRequest> {
             if (!known || known->outcome != CallerOutcome::Pending)
                 return known;
-            AnswerAssembly &answer = known->answers[part.tryId];
-            std::size_t const before = answer.receivedParts();
-            answer = answer.with(part);
-            known->receivedParts += answer.receivedParts() - before;
+            isFirst = known->receivedParts == 0;
+            auto &answer = known->answers[part.tryId];
+            if (!answer)
+                answer = std::make_shared<AnswerAssembly const>();
+            std::size_t const before = answer->receivedParts();
+            answer = std::make_shared<AnswerAssembly const>(answer->with(part));
+            known->receivedParts += answer->receivedParts() - before;
+            areAskedPartsThere = known->partsToAskAgain > 0 && known->receivedParts >= known->partsToAskAgain;
+            known->partsToAskAgain = areAskedPartsThere ? 0 : known->partsToAskAgain;
             return known;
         });
     if (!request) {
@@ -159,8 +194,13 @@
     }
     if (request->outcome == CallerOutcome::NotRun)
         count(this->board, [](CallerCounts &counts) { ++counts.answeredAfterNotRun; });
-    if (request->outcome == CallerOutcome::Pending)
-        this->checkAnswer(now, part.key, request->answers.at(part.tryId));
+    if (request->outcome != CallerOutcome::Pending)
+        return;
+    this->checkAnswer(now, part.key, *request->answers.at(part.tryId));
+    if (areAskedPartsThere)
+        this->askForParts(part.key);
+    if (isFirst)
+        this->hooks.schedule(this->plan.askForGapsAfter, [this, key = part.key] { this->checkGaps(key); });
 }
 
 void CallerRequests::checkAnswer(Timestamp now, RequestKey const &key, AnswerAssembly const &answer)
--- a/Libraries/LibStandIns/CallerRequests.h
+++ b/Libraries/LibStandIns/CallerRequests.h
@@ -32,7 +32,8 @@
     void scheduleCheck(RequestKey const &key);
     void cancel(RequestKey const &key);
     void checkProgress(RequestKey const &key);
-    void askForParts(RequestKey const &key, CallerRequest const &request);
+    void checkGaps(RequestKey const &key);
+    void askForParts(RequestKey const &key);
 
     void handlePart(Timestamp now, AnswerPart const &part);
     void checkAnswer(Timestamp now, RequestKey const &key, AnswerAssembly const &answer);
--- a/Tests/LibStandIns/CallerTest.cpp
+++ b/Tests/LibStandIns/CallerTest.cpp
@@ -170,6 +170,7 @@
 {
     CPPUNIT_TEST_SUITE(CallerTest);
     CPPUNIT_TEST(answersSurviveALossyLink);
+    CPPUNIT_TEST(answerThatWasLostAsAWholeIsRepairedInTime);
     CPPUNIT_TEST(flowsSurviveALossyLink);
     CPPUNIT_TEST(requestWithoutOutcomeFails);
     CPPUNIT_TEST(refusalsAreDefinite);
@@ -207,6 +208,35 @@
         }));
     }
 
+    // Guards against a repair that takes longer than the request may: a burst may overflow the receive buffer
+    // with all parts but the first.
+    void answerThatWasLostAsAWholeIsRepairedInTime()
+    {
+        constexpr Duration roundTrip = 10ms;
+        CallerPlan download = plan();
+        download.requests = 1;
+        download.order.answerSize = 4'000'000;
+        Bench bench(download);
+        auto const sendPart = [&](RequestKey const &key, std::uint32_t part) {
+            bench.loop.schedule(roundTrip, [&, key, part] {
+                bench.reply(makeAnswerPart(key, 1, download.order.answerSize, part));
+            });
+        };
+        bench.deliver = [&](CallerMessage const &message) {
+            if (auto const *const request = std::get_if<Request>(&message))
+                sendPart(request->key, 0);
+            auto const *const resend = std::get_if<ResendParts>(&message);
+            for (std::uint32_t const part : resend ? resend->parts : std::vector<std::uint32_t>{}) {
+                if (part < answerPartCount(download.order.answerSize))
+                    sendPart(resend->key, part);
+            }
+        };
+        bench.start();
+        bench.loop.runFor(download.deadline);
+        CPPUNIT_ASSERT(bench.summary().at("requests").at("answered") == 1);
+        CPPUNIT_ASSERT(bench.hasPassed());
+    }
+
     // Guards against a caller that mistakes lost or late packets for broken flows or wrong bytes.
     void flowsSurviveALossyLink()
     {
