Requests: Lose no spilled request by the end of a search

A resend that reaches the instance that has spilled the request is first searched for at the instances that claim its bucket. The one that runs it need not be among them, and the end of the search was taken for the loss of the request. The hops of a search counted as hops of passing on, too.

Ruled out: locating and records (idempotent requests are not located), a lost answer (no part was asked for again).

Change: the end of a search tells that a request is lost only if it was handed to that holder as the result of a search. A spilled one is passed on to where it was spilled to, and the hops of the search don't count. An idempotent request that instances pass to each other is taken back and run here instead of ending "unknown".

Before: the new tests RequestTakeoverTest::endedSearchDoesNotLoseASpilledRequest and idempotentRequestThatWentAroundIsTakenBack get an OutcomeUnknown.

--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -90,12 +90,18 @@
 void RequestAdmission::handleKnown(RequestRecord const &known, ArrivedRequest const &arrived, Timestamp now)
 {
     RequestKey const key = arrived.request.key;
-    bool const isHolderLost =
-        known.elsewherePurpose == ForwardPurpose::Search && !this->isReachable(known.elsewhere);
-    bool const isLost = known.phase == RequestPhase::Elsewhere
-        && (isHolderLost || arrived.purpose == ForwardPurpose::SearchEnded
-            || arrived.hops >= this->store.times().maxPassOnHops);
-    if (isLost) {
+    bool const isElsewhere = known.phase == RequestPhase::Elsewhere;
+    // A search visits the instances that may hold the request by their claims. The one that it was spilled to
+    // need not be among them.
+    bool const wasSearched = arrived.purpose == ForwardPurpose::SearchEnded;
+    bool const isHolderLost = known.elsewherePurpose == ForwardPurpose::Search
+        && (wasSearched || !this->isReachable(known.elsewhere));
+    bool const wentAround = !wasSearched && arrived.hops >= this->store.times().maxPassOnHops;
+    if (isElsewhere && wentAround && known.idempotency == Idempotency::Idempotent) {
+        this->takeBack(arrived, now);
+        return;
+    }
+    if (isElsewhere && (isHolderLost || wentAround)) {
         FinalOutcome const unknown{.outcome = RequestOutcome::Unknown, .reason = Reason::DispatcherLost};
         this->outcomes.finish(key, RequestPhase::Elsewhere, unknown, now);
         return;
@@ -113,10 +119,34 @@
     if (record->phase == RequestPhase::Elsewhere) {
         Request resend = arrived.request;
         resend.attempt = std::max(resend.attempt, 2U); // See case 10 in the header.
-        this->passOn(*record, arrived.caller, arrived.hops, resend);
+        // The hops of the search are over, and no instance spills what has made so many.
+        std::uint8_t const hops = wasSearched ? this->store.times().maxSpillHops : arrived.hops;
+        this->passOn(*record, arrived.caller, hops, resend);
     }
 }
 
+// Instances that pass a request to each other have lost it. An idempotent one may run again, and stays here.
+void RequestAdmission::takeBack(ArrivedRequest const &arrived, Timestamp now)
+{
+    RequestKey const key = arrived.request.key;
+    auto const record =
+        this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+            if (current.phase != RequestPhase::Elsewhere)
+                return std::nullopt;
+            RequestRecord next = current;
+            next.phase = RequestPhase::Admitting;
+            next.phaseSince = now;
+            next.history = RunHistory::Uncertain;
+            next.caller = arrived.caller;
+            next.attempt = std::max(current.attempt, arrived.request.attempt);
+            next.payload = std::make_shared<std::string const>(arrived.request.payload);
+            next.hops = arrived.hops;
+            return next;
+        });
+    if (record && !this->refuseAtOnce(key, *record, now))
+        this->admit(key, RequestPhase::Admitting, now);
+}
+
 void RequestAdmission::passOn(RequestRecord const &record, Endpoint caller, std::uint8_t hops,
                               CallerMessage const &message)
 {
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(formerRefusalIsNotRepeatedAfterTakeover);
     CPPUNIT_TEST(differentTablesAreLocated);
     CPPUNIT_TEST(spilledRequestsStayThere);
+    CPPUNIT_TEST(endedSearchDoesNotLoseASpilledRequest);
+    CPPUNIT_TEST(idempotentRequestThatWentAroundIsTakenBack);
     CPPUNIT_TEST(spilledRequestStaysUncertain);
     CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(takeoverCountsAllSlots);
@@ -152,6 +154,62 @@
         CPPUNIT_ASSERT(harness.refusals().back().key == arrived.key);
     }
 
+    // A request that this instance has spilled, with its queue empty afterwards.
+    static Request spilledRequest(Harness &harness)
+    {
+        for (std::uint64_t number = 1; number <= 17; ++number)
+            harness.sendIdempotent(number);
+        Request request = Harness::request(18, RequestClass::Urgent, Idempotency::Idempotent);
+        harness.send(request, 0);
+        CPPUNIT_ASSERT(std::get<Forwarded>(harness.toInstance.back().second).purpose
+                       == ForwardPurpose::Spill);
+        for (std::size_t ended = 0; ended < harness.runs().size(); ++ended)
+            harness.answer(harness.runs()[ended]);
+        harness.toInstance.clear();
+        request.attempt = 2;
+        return request;
+    }
+
+    // Guards against an "unknown" about a request that runs where it was spilled to: a resend is searched for
+    // at the instances that claim its bucket, and they need not be that one.
+    void endedSearchDoesNotLoseASpilledRequest()
+    {
+        Harness harness(1);
+        Request const resend = spilledRequest(harness);
+        harness.controller->handleRequest({.caller = callerEndpoint,
+                                           .request = resend,
+                                           .target = firstTarget,
+                                           .purpose = ForwardPurpose::SearchEnded,
+                                           .hops = 6,
+                                           .origin = self},
+                                          harness.now);
+        CPPUNIT_ASSERT(harness.unknowns().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.toInstance.size());
+        CPPUNIT_ASSERT(harness.toInstance.back().first == otherDispatcher);
+        auto const passedOn = std::get<Forwarded>(harness.toInstance.back().second);
+        CPPUNIT_ASSERT(passedOn.purpose == ForwardPurpose::Spill);
+        CPPUNIT_ASSERT(passedOn.hops <= RequestSettings{}.maxPassOnHops);
+    }
+
+    // Guards against an "unknown" about a request that may simply be run again.
+    void idempotentRequestThatWentAroundIsTakenBack()
+    {
+        Harness harness(1);
+        Request const resend = spilledRequest(harness);
+        harness.controller->handleRequest({.caller = callerEndpoint,
+                                           .request = resend,
+                                           .target = firstTarget,
+                                           .purpose = ForwardPurpose::Spill,
+                                           .hops = RequestSettings{}.maxPassOnHops,
+                                           .origin = otherDispatcher},
+                                          harness.now);
+        CPPUNIT_ASSERT(harness.unknowns().empty());
+        CPPUNIT_ASSERT(harness.toInstance.empty());
+        CPPUNIT_ASSERT(harness.runs().back().key == resend.key);
+        harness.answer(harness.runs().back());
+        CPPUNIT_ASSERT(Harness::only<AnswerPart>(harness.toCaller).back().key == resend.key);
+    }
+
     // Guards against "not run" for an idempotent request that the predecessor may have run, by an instance
     // that it was spilled to.
     void spilledRequestStaysUncertain()
