Node: Tell many targets in parts and go on from a known position

An entry that got no answer within 800 ms went to the next instance and asked it for all 3,002 targets again; an answer of some 400 KB takes an instance with 0.15 of a core tens of milliseconds, for 75 entries longer than 800 ms, so all entries went around for ever.

Ruled out: heartbeats as the cause (under decoding them are a few percent); rounds of answers (no change before).

Change: an answer holds at most 250 changed targets, the oldest generations first, and the next request goes on after them. An entry keeps the position in the registry of each instance that it has followed and goes on from there when it comes back (the flows of other entries are told anew). Lists of targets are written without a tree.

Before: the new tests ViewServerTest::manyTargetsAreToldInParts (all 1,201 targets in one answer) and EntryNodeTest::instanceThatWasLeftTellsOnlyWhatIsNew (asked from generation 0) fail. After: both pass; names with quotes and control characters come back as before (NodeWireTest::namesWithAnyCharactersComeBack).

--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -3,8 +3,12 @@
 
 #include <LibNode/NodeWire.h>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <iterator>
+#include <map>
+
 namespace almondwing {
 
 namespace {
@@ -32,12 +36,64 @@
     return *endpoint;
 }
 
-Json toJson(RegisteredTarget const &target, Timestamp now)
+// Lists of records are written without a tree: they make up most bytes of a message, and building trees of
+// 3,002 records took most of the time of the control instances of a sweep with 300 machines.
+class ListWriter
+{
+public:
+    template<typename... Fields>
+    void add(fmt::format_string<Fields...> format, Fields &&...fields)
+    {
+        this->text += this->text.size() > 1 ? ",[" : "[";
+        fmt::format_to(std::back_inserter(this->text), format, std::forward<Fields>(fields)...);
+        this->text += ']';
+    }
+
+    // A name as JSON. Few names repeat in many records.
+    std::string const &quoted(std::string const &name)
+    {
+        auto const known = this->names.find(name);
+        return known != this->names.end() ? known->second
+                                          : this->names.emplace(name, Json(name).dump()).first->second;
+    }
+
+    std::string finish() && { return std::move(this->text) + ']'; }
+
+private:
+    std::string text = "[";
+    std::map<std::string, std::string> names;
+};
+
+std::string listText(std::vector<RegisteredTarget> const &targets, Timestamp now)
 {
-    Duration const cold = std::max(Duration::zero(), target.coldUntil - now);
-    return Json::array({target.number.value, target.service, target.failureDomain, target.endpoint.toString(),
-                        target.slots, static_cast<int>(target.state), target.order.bornMilliseconds,
-                        target.order.sequence, millisecondsOf(now - target.heardAt), millisecondsOf(cold)});
+    ListWriter list;
+    for (RegisteredTarget const &target : targets) {
+        Duration const cold = std::max(Duration::zero(), target.coldUntil - now);
+        list.add(R"({},{},{},"{}",{},{},{},{},{},{})", target.number.value, list.quoted(target.service),
+                 list.quoted(target.failureDomain), target.endpoint.toString(), target.slots,
+                 static_cast<int>(target.state), target.order.bornMilliseconds, target.order.sequence,
+                 millisecondsOf(now - target.heardAt), millisecondsOf(cold));
+    }
+    return std::move(list).finish();
+}
+
+std::string heardListText(std::vector<RegisteredTarget> const &targets, Timestamp now)
+{
+    ListWriter list;
+    for (RegisteredTarget const &target : targets)
+        list.add("{},{},{},{}", target.number.value, target.order.bornMilliseconds, target.order.sequence,
+                 millisecondsOf(now - target.heardAt));
+    return std::move(list).finish();
+}
+
+// The text of an object with one more member.
+std::string withMember(std::string object, std::string_view name, std::string const &value)
+{
+    object.back() = ',';
+    object += fmt::format("\"{}\":", name);
+    object += value;
+    object += '}';
+    return object;
 }
 
 RegisteredTarget targetOf(Json const &json, Timestamp now)
@@ -57,14 +113,6 @@
                             .coldUntil = now + fromMilliseconds(json.at(9).get<std::int64_t>())};
 }
 
-Json toJson(std::vector<RegisteredTarget> const &targets, Timestamp now)
-{
-    Json list = Json::array();
-    for (RegisteredTarget const &target : targets)
-        list.push_back(toJson(target, now));
-    return list;
-}
-
 std::vector<RegisteredTarget> targetsOf(Json const &json, Timestamp now)
 {
     std::vector<RegisteredTarget> targets;
@@ -109,15 +157,6 @@
     return loads;
 }
 
-Json heardToJson(std::vector<RegisteredTarget> const &targets, Timestamp now)
-{
-    Json list = Json::array();
-    for (RegisteredTarget const &target : targets)
-        list.push_back(Json::array({target.number.value, target.order.bornMilliseconds, target.order.sequence,
-                                    millisecondsOf(now - target.heardAt)}));
-    return list;
-}
-
 std::vector<RegisteredTarget> heardOf(Json const &json, Timestamp now)
 {
     std::vector<RegisteredTarget> targets;
@@ -211,6 +250,8 @@
               {"boot", request.boot},
               {"registry", request.registryGeneration},
               {"revision", request.revision}};
+    if (request.isNewSource)
+        json["new"] = true;
     if (request.activity)
         json["activity"] = toJson(*request.activity);
     return json.dump();
@@ -225,6 +266,7 @@
             .boot = json.at("boot").get<std::uint64_t>(),
             .registryGeneration = json.at("registry").get<std::uint64_t>(),
             .revision = json.at("revision").get<std::uint64_t>(),
+            .isNewSource = json.contains("new"),
         };
         if (json.contains("activity"))
             request.activity = activityOf(json.at("activity"));
@@ -244,8 +286,6 @@
         json["full"] = true;
     if (reply.configuration)
         json["configuration"] = toJson(*reply.configuration);
-    if (!reply.targets.empty())
-        json["targets"] = toJson(reply.targets, now);
     if (!reply.controls.empty())
         json["controls"] = toJson(reply.controls);
     if (!reply.activity.empty())
@@ -254,7 +294,8 @@
         json["loads"] = toJson(reply.loads);
     for (TargetNumber const number : reply.overdue)
         json["overdue"].push_back(number.value);
-    return json.dump();
+    return reply.targets.empty() ? json.dump()
+                                 : withMember(json.dump(), "targets", listText(reply.targets, now));
 }
 
 absl::StatusOr<ViewReply> parseViewReply(std::string_view text, Timestamp now)
@@ -284,15 +325,14 @@
     Json hears = Json::array();
     for (Endpoint const peer : exchange.hears)
         hears.push_back(peer.toString());
-    return Json{{"from", exchange.from.toString()},
-                {"failure_domain", exchange.failureDomain},
-                {"boot", exchange.boot},
-                {"peers", toJson(exchange.peers)},
-                {"hears", std::move(hears)},
-                {"targets", toJson(exchange.targets, now)},
-                {"heard", heardToJson(exchange.heard, now)},
-                {"flows", toJson(exchange.flows)}}
-        .dump();
+    Json const json{{"from", exchange.from.toString()},
+                    {"failure_domain", exchange.failureDomain},
+                    {"boot", exchange.boot},
+                    {"peers", toJson(exchange.peers)},
+                    {"hears", std::move(hears)},
+                    {"flows", toJson(exchange.flows)}};
+    return withMember(withMember(json.dump(), "targets", listText(exchange.targets, now)), "heard",
+                      heardListText(exchange.heard, now));
 }
 
 absl::StatusOr<RegistryExchange> parseRegistryExchange(std::string_view text, Timestamp now)
@@ -325,7 +365,7 @@
 
 std::string formatTargets(std::vector<RegisteredTarget> const &targets, Timestamp now)
 {
-    return toJson(targets, now).dump();
+    return listText(targets, now);
 }
 
 absl::StatusOr<std::vector<RegisteredTarget>> parseTargets(std::string_view text, Timestamp now)
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -34,6 +34,7 @@
     std::uint64_t boot = 0; // Of the process that answered last; the generation belongs to it.
     std::uint64_t registryGeneration = 0;
     std::uint64_t revision = 0; // Of the configuration log, as far as the entry has it.
+    bool isNewSource = false; // The entry has followed another instance since, and forgotten remote flows.
     // Flows of this entry at each target; absent if the latest report still holds.
     std::optional<std::vector<TargetActivity>> activity;
 
--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -82,7 +82,9 @@
     if (endpoints.empty())
         return;
     Endpoint const chosen = endpoints[this->nextCandidate++ % endpoints.size()];
-    this->source = Source{.endpoint = chosen, .link = std::make_shared<HttpLink>(this->runtime, chosen)};
+    this->source = Source{.endpoint = chosen,
+                          .link = std::make_shared<HttpLink>(this->runtime, chosen),
+                          .position = this->positions[chosen]};
     this->sourceSince = now;
 }
 
@@ -104,9 +106,10 @@
     }
     ViewRequest const request{.instance = this->instance,
                               .failureDomain = this->failureDomain,
-                              .boot = this->source->boot,
-                              .registryGeneration = this->source->registryGeneration,
+                              .boot = this->source->position.boot,
+                              .registryGeneration = this->source->position.registryGeneration,
                               .revision = this->configuration ? this->configuration->revision : 0,
+                              .isNewSource = !this->source->hasAnswered,
                               .activity = this->activityIfDue(IoRuntime::now())};
     HttpCall const call{.server = this->source->endpoint,
                         .method = HttpMethod::Post,
@@ -121,8 +124,7 @@
 
 std::optional<std::vector<TargetActivity>> ViewFollower::activityIfDue(Timestamp now)
 {
-    bool const isNewSource = this->source->boot == 0;
-    if (!isNewSource && now < this->nextActivity)
+    if (this->source->hasAnswered && now < this->nextActivity)
         return std::nullopt;
     std::vector<TargetActivity> activity = this->hooks.activity();
     this->nextActivity =
@@ -157,13 +159,14 @@
 
 void ViewFollower::apply(ViewReply const &reply, Timestamp now)
 {
-    if (this->source->boot == 0)
+    bool const isFirstAnswer = !std::exchange(this->source->hasAnswered, true);
+    if (isFirstAnswer)
         this->hooks.report(Event::ViewSourceFollowed,
                            fmt::format("source={} in_contact={} complete={}",
                                        this->source->endpoint.toString(), reply.isInContact,
                                        reply.isComplete));
-    this->source->boot = reply.boot;
-    this->source->registryGeneration = reply.registryGeneration;
+    this->source->position = Position{.boot = reply.boot, .registryGeneration = reply.registryGeneration};
+    this->positions[this->source->endpoint] = this->source->position;
     for (ControlPeer const &peer : reply.controls)
         this->directory.learn(peer.endpoint, peer.failureDomain);
     bool isChanged = false;
@@ -186,7 +189,7 @@
     isChanged |= before.isRegistryComplete != this->freshness().isRegistryComplete;
     if (reply.mayOpenCold)
         this->hooks.coldFlowsPermitted(now + coldPermitLifetime);
-    if (reply.extent == RegistryExtent::Full)
+    if (isFirstAnswer || reply.extent == RegistryExtent::Full)
         forgetRemoteActivity(this->board);
     noteRemoteActivity(this->board, reply.activity);
     if (!reply.loads.empty())
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -12,6 +12,7 @@
 #include <LibTokenRouting/TokenBoard.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -50,12 +51,21 @@
     ViewFreshness freshness() const { return *this->currentFreshness.read(); }
 
 private:
+    // How far the registry of a control instance is known here.
+    struct Position
+    {
+        std::uint64_t boot = 0;
+        std::uint64_t registryGeneration = 0;
+
+        friend bool operator==(Position const &, Position const &) = default;
+    };
+
     struct Source
     {
         Endpoint endpoint;
         std::shared_ptr<HttpLink> link;
-        std::uint64_t boot = 0;
-        std::uint64_t registryGeneration = 0;
+        Position position;
+        bool hasAnswered = false;
     };
 
     void ask();
@@ -81,6 +91,7 @@
 
     // Touched only by work on the queue.
     std::optional<Source> source;
+    std::map<Endpoint, Position> positions; // Of all instances that have answered, to go on from there.
     std::size_t nextCandidate = 0;
     Timestamp sourceSince;
     Timestamp nextActivity; // No report of flows before that time, unless the source is new.
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -3,6 +3,7 @@
 #include <LibNode/ViewServer.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace almondwing {
@@ -12,6 +13,22 @@
 // A leader without a majority steps down within 400 ms, and its permits end 1 s after that.
 constexpr Duration permitDelay = 2s;
 
+// Keeps the given number of changes, those of the oldest generations, and what else has the last of these
+// generations, so that the next answer goes on after it. Returns whether some were cut.
+bool cutToOldest(std::vector<RegistryEntry> &changes, std::size_t count)
+{
+    if (changes.size() <= count)
+        return false;
+    std::ranges::sort(changes, {}, &RegistryEntry::changeGeneration);
+    auto end = changes.begin() + static_cast<std::ptrdiff_t>(count);
+    std::uint64_t const last = std::prev(end)->changeGeneration;
+    while (end != changes.end() && end->changeGeneration == last)
+        ++end;
+    bool const isCut = end != changes.end();
+    changes.erase(end, changes.end());
+    return isCut;
+}
+
 } // namespace
 
 ViewServer::ViewServer(ViewServerSettings viewSettings, DocumentLog &documentLog,
@@ -54,7 +71,7 @@
 
 bool ViewServer::isDue(Waiting const &entry, std::vector<TargetNumber> const &overdueNow, Timestamp now) const
 {
-    return now >= entry.deadline || entry.request.boot != this->settings.boot
+    return now >= entry.deadline || entry.request.isNewSource || entry.request.boot != this->settings.boot
         || this->registry.changeGeneration() > entry.request.registryGeneration
         || this->log.applied()->view.revision > entry.request.revision
         || this->log.contact()->isInContact != entry.wasInContact || overdueNow != entry.overdue;
@@ -87,9 +104,14 @@
                     .isComplete = now - this->settings.startedAt >= this->settings.completeAfter,
                     .isInContact = this->log.contact()->isInContact,
                     .overdue = std::move(overdueNow)};
-    for (RegistryEntry const &entry :
-         this->registry.changedAfter(isSameBoot ? request.registryGeneration : 0))
-        reply.targets.push_back(entry.target);
+    std::vector<RegistryEntry> changes =
+        this->registry.changedAfter(isSameBoot ? request.registryGeneration : 0);
+    if (cutToOldest(changes, this->settings.targetsInReply)) {
+        reply.registryGeneration = changes.back().changeGeneration;
+        reply.isComplete = false;
+    }
+    for (RegistryEntry &entry : changes)
+        reply.targets.push_back(std::move(entry.target));
     if (auto const applied = this->log.applied(); applied->view.revision > request.revision)
         reply.configuration = applied->view;
     if (!isSameBoot || reply.configuration) {
@@ -100,9 +122,9 @@
     if (!request.activity)
         return reply;
     auto const tokens = this->tokenPlacesNow.read();
-    reply.activity =
-        this->activity.changesFor(request.instance, request.failureDomain, *tokens,
-                                  isSameBoot ? ActivityBoard::Told::Earlier : ActivityBoard::Told::Nothing);
+    reply.activity = this->activity.changesFor(
+        request.instance, request.failureDomain, *tokens,
+        isSameBoot && !request.isNewSource ? ActivityBoard::Told::Earlier : ActivityBoard::Told::Nothing);
     auto const loads = this->loadsNow.read();
     for (GroupLoad const &load : *loads) {
         if (load.group.failureDomain != request.failureDomain)
--- a/Libraries/LibNode/ViewServer.h
+++ b/Libraries/LibNode/ViewServer.h
@@ -33,6 +33,8 @@
     // of a core.
     Duration roundTimeOfEntry = 1ms;
     std::size_t entriesWithoutPause = 16; // A round of so many answers takes less than 1 ms.
+    // The changes of further targets come with the next answers. So many take about 30 KB.
+    std::size_t targetsInReply = 250;
 
     friend bool operator==(ViewServerSettings const &, ViewServerSettings const &) = default;
 };
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -2,6 +2,11 @@
 
 #include "EntryPath.h"
 
+#include <LibFrontEnd/HttpServer.h>
+#include <LibNode/ViewFollower.h>
+
+#include <absl/cleanup/cleanup.h>
+
 namespace almondwing {
 
 class EntryNodeTest : public CppUnit::TestFixture
@@ -11,6 +16,7 @@
     CPPUNIT_TEST(stoppingEntryIsNotReadyAndGoesOnForwarding);
     CPPUNIT_TEST(undecodableDatagramsAreCounted);
     CPPUNIT_TEST(logWithoutConfigurationIsFollowedToo);
+    CPPUNIT_TEST(instanceThatWasLeftTellsOnlyWhatIsNew);
     CPPUNIT_TEST_SUITE_END();
 
     void packetsReachTheTargetAlsoThroughANewEntry()
@@ -70,6 +76,74 @@
         CPPUNIT_ASSERT(!entry.isReady());
         fixture.running.stop();
     }
+    // A control instance of the test: answers one request, and refuses the next.
+    struct SourceStandIn
+    {
+        explicit SourceStandIn(std::uint64_t bootNumber) : boot(bootNumber) { }
+
+        void handle(HttpRequest const &request, HttpRespond const &respond)
+        {
+            std::scoped_lock const lock(this->mutex);
+            this->requests.push_back(*parseViewRequest(request.body));
+            if (this->requests.size() % 2 == 0) {
+                respond(HttpResponse{.status = 503});
+                return;
+            }
+            ViewReply const reply{.boot = this->boot,
+                                  .registryGeneration = this->boot * 100,
+                                  .isComplete = true,
+                                  .isInContact = false};
+            respond(HttpResponse{.body = formatViewReply(reply, Timestamp{1h})});
+        }
+
+        std::uint64_t const boot;
+        std::mutex mutex; // Guards requests.
+        std::vector<ViewRequest> requests;
+    };
+
+    // Guards against an entry that asks for all targets each time it goes from one busy instance to the next.
+    void instanceThatWasLeftTellsOnlyWhatIsNew()
+    {
+        SourceStandIn first(1);
+        SourceStandIn second(2);
+        TokenBoard board;
+        RunningRuntime running;
+        std::vector<std::shared_ptr<HttpServer>> servers;
+        std::vector<Endpoint> seeds;
+        for (SourceStandIn *source : {&first, &second}) {
+            auto const opened = HttpServer::open(
+                running.runtime, anyLoopbackPort,
+                HttpServerHooks{.handle = [source](HttpRequest const &request, HttpRespond const &respond) {
+                    source->handle(request, respond);
+                }});
+            CPPUNIT_ASSERT(opened.ok());
+            servers.push_back(*opened);
+            seeds.push_back((*opened)->localEndpoint());
+        }
+        ViewFollower follower(running.runtime,
+                              NodeSettings{.instance = "entry", .failureDomain = "dar-a", .seeds = seeds},
+                              board,
+                              FollowerHooks{.viewChanged = [] {},
+                                            .coldFlowsPermitted = [](Timestamp) {},
+                                            .activity = [] { return std::vector<TargetActivity>{}; },
+                                            .report = [](Event, std::string const &) {}});
+        absl::Cleanup const stop = [&running] { running.stop(); };
+        follower.start();
+        for (SourceStandIn *source : {&first, &second}) {
+            // One request for each answer and each refusal, and the first after the way back.
+            NodeFixture::waitUntil("the entry comes back", [source] {
+                std::scoped_lock const lock(source->mutex);
+                return source->requests.size() >= 3;
+            });
+            std::scoped_lock const lock(source->mutex);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, source->requests[0].boot);
+            CPPUNIT_ASSERT_EQUAL(source->boot, source->requests[2].boot);
+            CPPUNIT_ASSERT_EQUAL(source->boot * 100, source->requests[2].registryGeneration);
+            CPPUNIT_ASSERT(source->requests[0].isNewSource && source->requests[2].isNewSource);
+            CPPUNIT_ASSERT(!source->requests[1].isNewSource);
+            CPPUNIT_ASSERT(source->requests[2].activity.has_value());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryNodeTest);
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST_SUITE(NodeWireTest);
     CPPUNIT_TEST(agesSurviveTheDifferenceOfClocks);
     CPPUNIT_TEST(viewReplyComesBackWhole);
+    CPPUNIT_TEST(namesWithAnyCharactersComeBack);
     CPPUNIT_TEST(exchangeComesBackWhole);
     CPPUNIT_TEST(cutMessagesAreRefused);
     CPPUNIT_TEST(wrongTypesAreRefused);
@@ -72,6 +73,24 @@
         CPPUNIT_ASSERT(targets->front() == expected);
     }
 
+    // Guards against records that are put into a text without care for quotes and control characters.
+    void namesWithAnyCharactersComeBack()
+    {
+        std::vector<RegisteredTarget> targets;
+        for (char const *name : {"a\"b", "back\\slash", "line\nbreak", "", "Žvolen", "a\"b"}) {
+            targets.push_back(someTarget());
+            targets.back().service = name;
+            targets.back().failureDomain = std::string(name) + "-domain";
+        }
+        auto const parsed = parseTargets(formatTargets(targets, senderNow), senderNow);
+        CPPUNIT_ASSERT(parsed.ok());
+        CPPUNIT_ASSERT(*parsed == targets);
+        ViewReply const reply{.targets = targets};
+        auto const parsedReply = parseViewReply(formatViewReply(reply, senderNow), senderNow);
+        CPPUNIT_ASSERT(parsedReply.ok());
+        CPPUNIT_ASSERT(*parsedReply == reply);
+    }
+
     void viewReplyComesBackWhole()
     {
         auto const reply = parseViewReply(formatViewReply(someReply(), senderNow), senderNow);
--- a/Tests/LibNode/ViewServerTest.cpp
+++ b/Tests/LibNode/ViewServerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <string>
 
 namespace almondwing {
@@ -15,6 +16,8 @@
     CPPUNIT_TEST(changesThatFollowEachOtherAreToldTogether);
     CPPUNIT_TEST(fewEntriesAreAnsweredAtOnce);
     CPPUNIT_TEST(stopAnswersAll);
+    CPPUNIT_TEST(entryThatComesBackIsAnsweredAtOnce);
+    CPPUNIT_TEST(manyTargetsAreToldInParts);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Timestamp start{1h};
@@ -77,6 +80,65 @@
         CPPUNIT_ASSERT_EQUAL(150, this->answers);
     }
 
+    ViewReply replyTo(ViewRequest const &request, Timestamp now)
+    {
+        std::string body;
+        this->views.handle(
+            request, [&body](HttpResponse const &response) { body = response.body; }, now);
+        auto const reply = parseViewReply(body, now);
+        CPPUNIT_ASSERT(reply.ok());
+        return *reply;
+    }
+
+    // Guards against an entry that has lost its instance and waits for the next one to have news.
+    void entryThatComesBackIsAnsweredAtOnce()
+    {
+        this->addTarget(start);
+        ViewReply const reply =
+            this->replyTo(ViewRequest{.instance = "entry",
+                                      .failureDomain = "dar-a",
+                                      .boot = boot,
+                                      .registryGeneration = this->registry.changeGeneration(),
+                                      .isNewSource = true},
+                          start);
+        CPPUNIT_ASSERT(reply.extent == RegistryExtent::Difference && reply.targets.empty());
+    }
+
+    // Guards against answers so long that entries give up waiting for them, ask the next instance for all
+    // targets again, and keep all instances busy with that: seen with 3,002 targets and 75 entries.
+    void manyTargetsAreToldInParts()
+    {
+        constexpr std::uint16_t targetCount = 1200;
+        Timestamp const later = start + 10s;
+        while (this->targets < targetCount)
+            this->addTarget(later);
+        // A target at the address of another ends that one in the same change.
+        this->registry.merge(RegisteredTarget{.number = TargetNumber{9999},
+                                              .service = "orders",
+                                              .failureDomain = "dar-a",
+                                              .endpoint = Endpoint{.address = 1, .port = 1},
+                                              .order = ReportOrder{.bornMilliseconds = 1},
+                                              .heardAt = later},
+                             later);
+        std::map<TargetNumber, RegisteredState> told;
+        ViewRequest request{.instance = "entry", .failureDomain = "dar-a"};
+        for (int parts = 0; request.registryGeneration < this->registry.changeGeneration(); ++parts) {
+            CPPUNIT_ASSERT(parts < 10);
+            ViewReply const reply = this->replyTo(request, later);
+            CPPUNIT_ASSERT(reply.targets.size() <= ViewServerSettings{}.targetsInReply + 1);
+            CPPUNIT_ASSERT((reply.extent == RegistryExtent::Full) == (parts == 0));
+            for (RegisteredTarget const &target : reply.targets)
+                told[target.number] = target.state;
+            request.boot = reply.boot;
+            request.registryGeneration = reply.registryGeneration;
+            CPPUNIT_ASSERT_EQUAL(reply.registryGeneration == this->registry.changeGeneration(),
+                                 reply.isComplete);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{targetCount + 1}, told.size());
+        CPPUNIT_ASSERT(told.at(TargetNumber{1}) == RegisteredState::Gone);
+        CPPUNIT_ASSERT(told.at(TargetNumber{9999}) == RegisteredState::Ready);
+    }
+
     int answers = 0;
     std::uint16_t targets = 0;
     IoRuntime runtime;
