RestartTest: End the flows when the restarts are over

Ruled out: a caller that hangs (the run ended 180 s after the last restart, with the flows' own end 87 s away).

Change: the flows still outlast the restarts, which the test now checks. After the last restart it waits for 31 s, the time after which a flow without an echo counts as silent, and ends the caller with SIGTERM; the checks of the summary are the same.

Before: red ("the caller does not end"). After: green twice, 65 s each, beside builds of this project.

--- a/Tests/Deployment/RestartTest.cpp
+++ b/Tests/Deployment/RestartTest.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 namespace almondwing {
 
@@ -89,6 +90,10 @@
                                          summary["requests"]["answered"].get<int>());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(summary.dump(), 0, summary["requests"]["wrongAnswers"].get<int>());
         }
+        // A flow without an echo for 30 s counts as silent.
+        std::this_thread::sleep_for(31s);
+        CPPUNIT_ASSERT_MESSAGE("the flows did not outlast the restarts", flows->isRunning());
+        flows->signal(SIGTERM); // Ends the caller with its summary.
         expectFlowsAlive(deployment.summaryOf(*flows));
     }
 
