--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -12,13 +12,6 @@
 
 namespace {
 
-// Times of a flow on the blackboard are refreshed at most this often, so that most packets only read its
-// record.
-constexpr Duration timeResolution = 1s;
-
-// An adopted flow that this many targets in turn do not know is reported broken.
-constexpr std::uint8_t maximumMisses = 3;
-
 FlowKey keyOfFlow(FlowMessage const &message)
 {
     return std::visit([](auto const &content) { return content.key; }, message);
@@ -346,121 +339,6 @@
     return this->blackboard.ownStatus.select([](OwnStatus const &status) { return status.self.id; });
 }
 
-void FlowController::handleFlowFound(FlowFound const &found, Timestamp now)
-{
-    this->blackboard.redirects.update(found.key, [&](auto const &) {
-        return FlowRedirect{.target = found.target, .dispatcher = {}, .lastUsed = now};
-    });
-}
-
-void FlowController::handleTargetMessage(Endpoint from, TargetMessage const &message, Timestamp now)
-{
-    FlowKey key;
-    if (auto const *const accepted = std::get_if<FlowAccepted>(&message))
-        key = accepted->key;
-    else if (auto const *const refused = std::get_if<FlowRefused>(&message))
-        key = refused->key;
-    else if (auto const *const data = std::get_if<FlowData>(&message))
-        key = data->key;
-    else if (auto const *const broken = std::get_if<FlowBroken>(&message))
-        key = broken->key;
-    else
-        return;
-    auto const known = this->blackboard.flows.read(key);
-    if (!known || !this->isEndpointOf(known->value.target, from)) {
-        this->atomicCounters.unmatched.fetch_add(1, std::memory_order_relaxed);
-        return;
-    }
-    FlowRecord const &record = known->value;
-    if (auto const *const broken = std::get_if<FlowBroken>(&message)) {
-        this->handleTargetBroken(key, record, broken->reason, now);
-        return;
-    }
-    if (auto const *const refused = std::get_if<FlowRefused>(&message)) {
-        this->blackboard.flows.remove(key);
-        releaseConnection(this->blackboard, record.target);
-        this->atomicCounters.refused.fetch_add(1, std::memory_order_relaxed);
-        this->outbox.sendToCaller(record.caller, *refused);
-        return;
-    }
-    this->noteAnswer(key, record, now);
-    if (auto const *const data = std::get_if<FlowData>(&message))
-        this->outbox.sendToCaller(record.caller, *data);
-    else
-        this->outbox.sendToCaller(record.caller, std::get<FlowAccepted>(message));
-}
-
-// Only the target that has a flow may speak for it.
-bool FlowController::isEndpointOf(TargetId id, Endpoint endpoint) const
-{
-    return this->blackboard.routingView.select([&](RoutingView const &view) {
-        RoutedTarget const *const target = view.findTarget(id);
-        return target != nullptr && target->record.packetEndpoint == endpoint;
-    });
-}
-
-void FlowController::noteAnswer(FlowKey const &key, FlowRecord const &record, Timestamp now)
-{
-    if (record.state == FlowState::Open && record.unansweredSince == Timestamp{}
-        && now - record.lastFromTarget < timeResolution)
-        return;
-    this->blackboard.flows.update(key,
-                                  [&](std::optional<FlowRecord> const &current) -> std::optional<FlowRecord> {
-                                      if (!current)
-                                          return std::nullopt;
-                                      FlowRecord next = *current;
-                                      next.state = FlowState::Open;
-                                      next.lastFromTarget = now;
-                                      next.unansweredSince = Timestamp{};
-                                      return next;
-                                  });
-    if (record.state != FlowState::Opening)
-        return;
-    this->blackboard.usage.update(
-        record.target, [&](std::optional<TargetUsage> const &current) -> std::optional<TargetUsage> {
-            TargetUsage next = current.value_or(TargetUsage{});
-            ++next.accepted;
-            next.lastHeard = now;
-            return next;
-        });
-}
-
-// A target that does not know an adopted flow shows that the flow was adopted at the wrong target. If another
-// target claims the bucket, the next packet of the caller is led there.
-void FlowController::handleTargetBroken(FlowKey const &key, FlowRecord const &record, Reason reason,
-                                        Timestamp now)
-{
-    auto const candidates = this->searchCandidates(key, record.target);
-    bool const isElsewhere =
-        record.state == FlowState::Adopted && !candidates.empty() && record.misses < maximumMisses;
-    bool const mayBeClaimedSoon =
-        record.state == FlowState::Adopted && this->isInGrace(key, record.target, now);
-    if (!isElsewhere && !mayBeClaimedSoon) {
-        this->breakFlow(key, record, reason);
-        return;
-    }
-    this->blackboard.flows.remove(key);
-    releaseConnection(this->blackboard, record.target);
-    if (!isElsewhere) {
-        this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
-        return;
-    }
-    auto const view = this->blackboard.routingView.read();
-    RoutedTarget const *const next = view->findTarget(candidates.front());
-    if (next == nullptr || next->dispatcher != this->self()) {
-        FlowRedirect const redirect{
-            .target = candidates.front(), .dispatcher = {}, .isDisclaimed = true, .lastUsed = now};
-        this->blackboard.redirects.update(key, [&](auto const &) { return redirect; });
-        return;
-    }
-    FlowRecord moved = record;
-    moved.target = next->record.id;
-    moved.targetStart = next->record.startMark;
-    moved.misses = static_cast<std::uint8_t>(record.misses + 1);
-    if (this->blackboard.flows.write(key, moved, 0) == WriteOutcome::Written)
-        adoptConnection(this->blackboard, moved.target);
-}
-
 FlowCounters FlowController::counters() const
 {
     AtomicCounters const &current = this->atomicCounters;
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -87,6 +87,10 @@
     FlowCounters counters() const;
 
 private:
+    // Times of a flow on the blackboard are refreshed at most this often, so that most packets only read its
+    // record.
+    static constexpr Duration timeResolution = 1s;
+
     struct AtomicCounters
     {
         std::atomic<std::uint64_t> opened = 0;
