--- a/Libraries/LibNode/HeldPackets.h
+++ b/Libraries/LibNode/HeldPackets.h
@@ -33,12 +33,16 @@
     {
         std::string packet;
         Timestamp arrivedAt;
+
+        friend bool operator==(Held const &, Held const &) = default;
     };
 
     struct Taken
     {
         std::vector<Held> waiting; // Oldest first.
         std::vector<Held> expired; // Waited too long and are lost.
+
+        friend bool operator==(Taken const &, Taken const &) = default;
     };
 
     // Returns false if no more packets fit; the packet is lost then.
