Registry: End no part within a change

A change may write two records under one generation, a target and the one whose address it took, and publishes the generation afterwards. A part could be cut at a generation that is not yet published, with only the first of the two in it; the reader then went on after it and never heard of the end of the other target.

Ruled out: parts that are not cut (they end at the generation that was published before the walk), changedAfter().

Change: a part never tells a later generation than was published when the walk began.

Conclusion: an entry can't keep sending to an address that another service has got because of where a part ended.

--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -241,7 +241,8 @@
         while (end != changed.end() && end->first == last)
             ++end;
         if (end != changed.end()) {
-            changes.lastGeneration = last;
+            // A later change may be under way and seen in part.
+            changes.lastGeneration = std::min(last, changes.lastGeneration);
             changes.isCut = true;
             changed.erase(end, changed.end());
         }
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <set>
 #include <thread>
 #include <vector>
@@ -58,6 +59,7 @@
     CPPUNIT_TEST(copiesAgreeWhateverTheOrder);
     CPPUNIT_TEST(readerOfChangesMissesNoneOfSeveralWriters);
     CPPUNIT_TEST(readerInPartsKnowsAllInTheEnd);
+    CPPUNIT_TEST(readerInPartsMissesNothingBesideAWriter);
     CPPUNIT_TEST_SUITE_END();
 
     TargetRegistry registry{RegistrySettings{}};
@@ -91,6 +93,45 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{targets}, told.size());
     }
 
+    // Guards against a part that ends within a change: a target at the address of another ends that one under
+    // the same generation, a moment later.
+    void readerInPartsMissesNothingBesideAWriter()
+    {
+        constexpr std::uint64_t pairs = 20'000;
+        constexpr std::uint64_t lead = 3; // The writer stays near, so that parts end where it writes.
+        std::map<TargetNumber, RegisteredState> told;
+        std::atomic<bool> isWriting{true};
+        std::atomic<std::uint64_t> known{0};
+        auto const read = [&] {
+            RegistryChanges const changes = this->registry.oldestChangesAfter(known, 1);
+            for (RegisteredTarget const &target : changes.targets)
+                told[target.number] = target.state;
+            known = changes.lastGeneration;
+            known.notify_one();
+            return changes.isCut;
+        };
+        {
+            std::jthread const writer([&] {
+                for (std::uint64_t number = 1; number <= pairs; ++number) {
+                    this->registry.merge(targetAt(number, 100, 1), start);
+                    RegisteredTarget successor = targetAt(pairs + number, 200, 1);
+                    successor.endpoint = targetAt(number, 100, 1).endpoint;
+                    this->registry.merge(successor, start);
+                    for (std::uint64_t seen = known; seen + lead < this->registry.changeGeneration();
+                         seen = known)
+                        known.wait(seen);
+                }
+                isWriting = false;
+            });
+            while (isWriting)
+                read();
+        }
+        while (read()) { }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2 * pairs}, told.size());
+        for (auto const &[number, state] : told)
+            CPPUNIT_ASSERT_EQUAL(number.value <= pairs, state == RegisteredState::Gone);
+    }
+
     RegisteredState stateOf(std::uint64_t number) const
     {
         auto const found = this->registry.find(TargetNumber{number});
