UdpSocketTest: Stop the threads before the sockets go

Cause: AddressSanitizer, once: heap-use-after-free in datagramsArriveAndAreCounted. The server's handler refers to the test's own pointer to the socket; the client has its answer while the handler is still in send(), and the test ends.

Ruled out: UdpSocket itself (its state is held by the receiving handler; the freed object is the test's local).

Change: the test stops the threads before its sockets end. No check changed.

Before: red once under AddressSanitizer. After: UdpSocketTest passes in the normal build; not run again under AddressSanitizer.

Conclusion: a fault of the test, from its trace.

--- a/Tests/LibFrontEnd/UdpSocketTest.cpp
+++ b/Tests/LibFrontEnd/UdpSocketTest.cpp
@@ -45,6 +45,7 @@
                                        .datagramsSent = datagramCount,
                                        .bytesReceived = bytes,
                                        .bytesSent = bytes}));
+        running.stop(); // The server's handler may still be on its way back from send().
     }
 
     // Guards against an oversized datagram that is cut to the largest allowed size (1400 bytes) and then
