Registry: Say rightly why a part must not go beyond what was published

Cause: found in the review. What a part missed is a change in a shard that the walk had passed, made before another one, in a shard that it met later, with a higher generation.

Ruled out: two records under one generation (changeInOrder() and endPredecessor(), read again).

Change: the comments say so, and the search for further records of the last generation is gone, because there are none. The checks of the size of a part are exact now instead of one more.

--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -3,7 +3,6 @@
 #include <LibRegistry/TargetRegistry.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace almondwing {
 
@@ -236,16 +235,10 @@
     });
     std::ranges::sort(changed);
     if (changed.size() > atMost) {
-        auto end = changed.begin() + static_cast<std::ptrdiff_t>(atMost);
-        std::uint64_t const last = std::prev(end)->first;
-        while (end != changed.end() && end->first == last)
-            ++end;
-        if (end != changed.end()) {
-            // A later change may be under way and seen in part.
-            changes.lastGeneration = std::min(last, changes.lastGeneration);
-            changes.isCut = true;
-            changed.erase(end, changed.end());
-        }
+        changed.resize(atMost);
+        // What was changed since the walk began may have been met only in part.
+        changes.lastGeneration = std::min(changed.back().first, changes.lastGeneration);
+        changes.isCut = true;
     }
     // One that has changed meanwhile is told as it is now, and again after its later generation.
     for (auto const &[at, number] : changed) {
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -51,8 +51,7 @@
     friend bool operator==(EndpointHolder const &, EndpointHolder const &) = default;
 };
 
-// Changes that matter for routing, the oldest first in generation. Whoever has them knows all up to
-// lastGeneration.
+// Changes that matter for routing, the oldest first. Whoever has them knows all up to lastGeneration.
 struct RegistryChanges
 {
     std::vector<RegisteredTarget> targets;
@@ -102,7 +101,7 @@
     std::vector<RegistryEntry> changedAfter(std::uint64_t generation) const;
     std::vector<RegistryEntry> heardAfter(std::uint64_t generation) const;
 
-    // The oldest changes after the generation, `atMost` of them, and those that share the last generation.
+    // The oldest changes after the generation, `atMost` of them (at least one).
     RegistryChanges oldestChangesAfter(std::uint64_t generation, std::size_t atMost) const;
 
 private:
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -93,8 +93,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{targets}, told.size());
     }
 
-    // Guards against a part that ends within a change: a target at the address of another ends that one under
-    // the same generation, a moment later.
+    // Guards against a part that goes beyond a change it has missed: a later one in a shard that is walked
+    // over later is met, an earlier one in a shard that was walked over before is not.
     void readerInPartsMissesNothingBesideAWriter()
     {
         constexpr std::uint64_t pairs = 3'000;
@@ -269,7 +269,7 @@
                 auto const atMost = *rc::gen::inRange<std::size_t>(1, 5);
                 RegistryChanges const changes = written.oldestChangesAfter(known, atMost);
                 RC_ASSERT(changes.lastGeneration > known || known == written.changeGeneration());
-                RC_ASSERT(changes.targets.size() <= atMost + 1); // One change ends a predecessor.
+                RC_ASSERT(changes.targets.size() <= atMost);
                 known = changes.lastGeneration;
                 for (RegisteredTarget const &target : changes.targets)
                     read.merge(target, start);
