Review: One place for what stood twice

That an entry which comes back is told the flows of all others had no test, and a promise of DocumentLogTest ended before the threads that use it.

--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -375,11 +375,16 @@
 {
     HttpResponse const response = status.ok() ? emptyResponse() : this->refusal(request, status);
     this->changes.observe(IoRuntime::now() - since);
+    this->noteAnswered(request, response, this->log->applied()->state.version, std::string(status.message()));
+    respond(response);
+}
+
+void ControlServer::noteAnswered(HttpRequest const &request, HttpResponse const &response,
+                                 std::uint64_t version, std::string const &reason)
+{
     this->report(Event::ChangeAnswered,
                  fmt::format("path={} bytes={} status={} version={} reason={}", request.path,
-                             request.body.size(), response.status, this->log->applied()->state.version,
-                             logValue(std::string(status.message()))));
-    respond(response);
+                             request.body.size(), response.status, version, logValue(reason)));
 }
 
 void ControlServer::answer(HttpRequest const &request, ReadCall const &, HttpRespond const &respond)
@@ -388,20 +393,17 @@
         HttpResponse const response = !state.ok() ? this->refusal(request, state.status())
             : state->version == 0                 ? errorResponse(503, "no configuration was accepted yet")
                                                   : HttpResponse{.body = *state->text};
-        this->report(Event::ChangeAnswered,
-                     fmt::format("path={} bytes={} status={} version={} reason={}", request.path,
-                                 request.body.size(), response.status, state.ok() ? state->version : 0,
-                                 logValue(std::string(state.status().message()))));
+        this->noteAnswered(request, response, state.ok() ? state->version : 0,
+                           std::string(state.status().message()));
         respond(response);
     });
 }
 
 void ControlServer::answer(HttpRequest const &request, InvalidCall const &call, HttpRespond const &respond)
 {
-    this->report(Event::ChangeAnswered,
-                 fmt::format("path={} bytes={} status={} reason={}", request.path, request.body.size(),
-                             call.status, logValue(call.reason)));
-    respond(errorResponse(call.status, call.reason));
+    HttpResponse const response = errorResponse(call.status, call.reason);
+    this->noteAnswered(request, response, this->log->applied()->state.version, call.reason);
+    respond(response);
 }
 
 // Another replica leads, or it is not known whether the change was committed. Callers try again then.
--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -106,6 +106,8 @@
     void answerWhenSpread(std::string const &target, HttpRespond const &respond);
     void answerChange(HttpRequest const &request, absl::Status const &status, Timestamp since,
                       HttpRespond const &respond);
+    void noteAnswered(HttpRequest const &request, HttpResponse const &response, std::uint64_t version,
+                      std::string const &reason);
     HttpResponse refusal(HttpRequest const &request, absl::Status const &status) const;
     void sendReplication(ReplicaEnvelope const &envelope);
     std::vector<std::string> knownInstances() const;
--- a/Libraries/LibRequests/RequestQueueing.cpp
+++ b/Libraries/LibRequests/RequestQueueing.cpp
@@ -316,25 +316,16 @@
     auto const record = this->store.find(key);
     if (!record)
         return;
-    auto const markSent = [&] {
-        return this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
-            if (nextStep(current, this->store.times(), now) != step)
-                return std::nullopt;
-            RequestRecord next = current;
-            next.lastSent = now;
-            return next;
-        });
-    };
     switch (step) {
     case RequestStep::RepeatLocate:
-        if (auto const current = markSent())
+        if (auto const current = this->store.markSent(key, step, now))
             this->sendLocates(key, current->locate, current->locate.mustAnswer);
         return;
     case RequestStep::EndLocate:
         this->concludeLocating(key, LocateResult::Incomplete, now);
         return;
     case RequestStep::RepeatRecord:
-        if (auto const current = markSent())
+        if (auto const current = this->store.markSent(key, step, now))
             this->sendRecords(key, *current, now);
         return;
     case RequestStep::GiveUpRecording:
--- a/Libraries/LibRequests/RequestStore.cpp
+++ b/Libraries/LibRequests/RequestStore.cpp
@@ -78,6 +78,17 @@
     }
 }
 
+std::optional<RequestRecord> RequestStore::markSent(RequestKey key, RequestStep step, Timestamp now)
+{
+    return this->change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
+        if (nextStep(current, this->settings, now) != step)
+            return std::nullopt;
+        RequestRecord next = current;
+        next.lastSent = now;
+        return next;
+    });
+}
+
 std::optional<RequestRecord> RequestStore::moveToTarget(RequestKey key, TargetId target)
 {
     TargetId former;
--- a/Libraries/LibRequests/RequestStore.h
+++ b/Libraries/LibRequests/RequestStore.h
@@ -6,6 +6,7 @@
 
 #include <LibRequests/ExpirySchedule.h>
 #include <LibRequests/RequestSettings.h>
+#include <LibRequests/RequestStep.h>
 #include <LibState/Blackboard.h>
 
 #include <functional>
@@ -28,6 +29,9 @@
     std::optional<RequestRecord> find(RequestKey key) const;
     WriteOutcome create(RequestKey key, RequestRecord const &record);
     std::optional<RequestRecord> change(RequestKey key, Decide const &decide);
+
+    // Notes that the message of the step is sent now; nothing if the step is not due any more.
+    std::optional<RequestRecord> markSent(RequestKey key, RequestStep step, Timestamp now);
     std::optional<RequestRecord> moveToTarget(RequestKey key, TargetId target);
 
     // Sets the time until which a record that has ended is kept.
--- a/Libraries/LibRequests/TryRunner.h
+++ b/Libraries/LibRequests/TryRunner.h
@@ -77,7 +77,6 @@
     void askForParts(RequestKey key, RequestStep step, Timestamp now);
     void freeSlot(RequestKey key, RequestStep step, Timestamp now);
     void giveUpTry(RequestKey key, Timestamp now);
-    std::optional<RequestRecord> markSent(RequestKey key, RequestStep step, Timestamp now);
     void freeSlotOf(RequestKey key, RequestRecord const &record, Timestamp now);
 
     RequestStore &store;
--- a/Libraries/LibRequests/TryRunnerSteps.cpp
+++ b/Libraries/LibRequests/TryRunnerSteps.cpp
@@ -41,7 +41,7 @@
         this->cancel(key, Reason::DeadlinePassed, now);
         return;
     case RequestStep::RepeatCancel:
-        if (auto const record = this->markSent(key, step, now))
+        if (auto const record = this->store.markSent(key, step, now))
             this->sendCancel(key, *record);
         return;
     case RequestStep::GiveUpTry:
@@ -55,26 +55,15 @@
     }
 }
 
-std::optional<RequestRecord> TryRunner::markSent(RequestKey key, RequestStep step, Timestamp now)
-{
-    return this->store.change(key, [&](RequestRecord const &current) -> std::optional<RequestRecord> {
-        if (nextStep(current, this->store.times(), now) != step)
-            return std::nullopt;
-        RequestRecord next = current;
-        next.lastSent = now;
-        return next;
-    });
-}
-
 void TryRunner::repeatRun(RequestKey key, RequestStep step, Timestamp now)
 {
-    if (auto const record = this->markSent(key, step, now))
+    if (auto const record = this->store.markSent(key, step, now))
         this->sendRun(key, *record, now);
 }
 
 void TryRunner::askForParts(RequestKey key, RequestStep step, Timestamp now)
 {
-    auto const record = this->markSent(key, step, now);
+    auto const record = this->store.markSent(key, step, now);
     if (!record)
         return;
     this->sendToTarget(
--- a/Tests/LibNode/DecisionLinesTest.cpp
+++ b/Tests/LibNode/DecisionLinesTest.cpp
@@ -17,21 +17,6 @@
     }
 }
 
-std::string targetRecord(std::uint64_t sequence, RegisteredState state)
-{
-    Timestamp const now{1h};
-    return formatTargets(
-        {RegisteredTarget{.number = TargetNumber{9},
-                          .service = "orders",
-                          .failureDomain = "dar-a",
-                          .endpoint = Endpoint{.address = 0x7f000001, .port = 9},
-                          .state = state,
-                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = sequence},
-                          .heardAt = now,
-                          .coldUntil = now}},
-        now);
-}
-
 } // namespace
 
 class DecisionLinesTest : public CppUnit::TestFixture
@@ -215,12 +200,12 @@
     {
         NodeFixture fixture(1);
         RecordedEvents const &events = fixture.events;
-        fixture.callUntilDone("/heartbeat", targetRecord(1, RegisteredState::Ready));
-        fixture.callUntilDone("/heartbeat", targetRecord(2, RegisteredState::Ready));
+        fixture.callUntilDone("/heartbeat", heartbeat(9, 1, RegisteredState::Ready));
+        fixture.callUntilDone("/heartbeat", heartbeat(9, 2, RegisteredState::Ready));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::TargetAnnounced));
         requireFields(events.of(Event::TargetAnnounced).front(),
                       {"target", "service", "domain", "endpoint", "state", "born", "sequence", "cold_ms"});
-        fixture.callUntilDone("/heartbeat", targetRecord(3, RegisteredState::Draining));
+        fixture.callUntilDone("/heartbeat", heartbeat(9, 3, RegisteredState::Draining));
         std::vector<std::string> const answered{"target", "state", "holders", "known", "status"};
         requireFields(firstOf(events, Event::EndAnswered, "state=draining "), answered);
         fixture.callUntilDone("/leave", "9");
--- a/Tests/LibNode/DocumentLogTest.cpp
+++ b/Tests/LibNode/DocumentLogTest.cpp
@@ -34,6 +34,7 @@
     {
         TestFolder const folder;
         RecordedEvents events;
+        std::promise<std::uint64_t> versionAtAcknowledgement;
         RunningRuntime running;
         std::string const self = "198.18.0.2:9000";
         DocumentLog log(running.runtime,
@@ -53,7 +54,6 @@
         log.start();
         NodeFixture::waitUntil("the log has a leader",
                                [&] { return log.contact()->status.role == ReplicaRole::Leader; });
-        std::promise<std::uint64_t> versionAtAcknowledgement;
         log.submit(ReplaceDocument{.version = 3, .text = first}, [&](absl::Status const &status) {
             versionAtAcknowledgement.set_value(status.ok() ? log.applied()->view.configuration.version : 0);
         });
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -114,6 +114,22 @@
     return ChangeCall{ReplaceDocument{.version = configuration->version, .text = request.body}};
 }
 
+// The body of a heartbeat of a target for the front end of the tests.
+inline std::string heartbeat(std::uint64_t number, std::uint64_t sequence, RegisteredState state)
+{
+    Timestamp const now{1h};
+    return formatTargets(
+        {RegisteredTarget{.number = TargetNumber{number},
+                          .service = "orders",
+                          .failureDomain = "dar-a",
+                          .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
+                          .state = state,
+                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = sequence},
+                          .heardAt = now,
+                          .coldUntil = now}},
+        now);
+}
+
 // A control instance on threads of its own, so that it can end while the others run.
 struct ControlProcess
 {
--- a/Tests/LibNode/SpreadTest.cpp
+++ b/Tests/LibNode/SpreadTest.cpp
@@ -6,21 +6,6 @@
 
 namespace {
 
-std::string heartbeat(std::uint64_t number, std::uint64_t sequence, RegisteredState state)
-{
-    Timestamp const now{1h};
-    return formatTargets(
-        {RegisteredTarget{.number = TargetNumber{number},
-                          .service = "orders",
-                          .failureDomain = "dar-a",
-                          .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
-                          .state = state,
-                          .order = ReportOrder{.bornMilliseconds = 100, .sequence = sequence},
-                          .heardAt = now,
-                          .coldUntil = now}},
-        now);
-}
-
 ViewReply viewAt(NodeFixture &fixture, std::size_t control)
 {
     HttpResponse const response = fixture.call(
--- a/Tests/LibNode/ViewServerTest.cpp
+++ b/Tests/LibNode/ViewServerTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(fewEntriesAreAnsweredAtOnce);
     CPPUNIT_TEST(stopAnswersAll);
     CPPUNIT_TEST(entryThatComesBackIsAnsweredAtOnce);
+    CPPUNIT_TEST(entryThatComesBackIsToldAllFlowsAgain);
     CPPUNIT_TEST(manyTargetsAreToldInParts);
     CPPUNIT_TEST(changeIsToldThoughAPartIsKept);
     CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,29 @@
         CPPUNIT_ASSERT(reply.extent == RegistryExtent::Difference && reply.targets.empty());
     }
 
+    // Guards against an entry that has forgotten the flows of others, as it followed another instance, and
+    // is told only what is new.
+    void entryThatComesBackIsToldAllFlowsAgain()
+    {
+        this->addTarget(start);
+        ViewRequest request{.instance = "entry",
+                            .failureDomain = "dar-a",
+                            .boot = boot,
+                            .registryGeneration = this->registry.changeGeneration(),
+                            .isNewSource = true,
+                            .activity = std::vector<TargetActivity>{}};
+        ViewRequest other = request;
+        other.instance = "other";
+        other.activity = {TargetActivity{.token = tokenOf(TargetNumber{1}), .flows = 50}};
+        this->replyTo(other, start);
+        this->views.refresh(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->replyTo(request, start).activity.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->replyTo(request, start).activity.size());
+        request.isNewSource = false;
+        request.registryGeneration = 0; // So that it is answered at once.
+        CPPUNIT_ASSERT(this->replyTo(request, start).activity.empty());
+    }
+
     // Guards against answers so long that entries give up waiting for them, ask the next instance for all
     // targets again, and keep all instances busy with that: seen with 3,002 targets and 75 entries.
     void manyTargetsAreToldInParts()
@@ -113,7 +137,7 @@
         Timestamp const later = start + 10s;
         while (this->targets < targetCount)
             this->addTarget(later);
-        // A target at the address of another ends that one in the same change.
+        // A target at the address of another ends that one.
         this->registry.merge(RegisteredTarget{.number = TargetNumber{9999},
                                               .service = "orders",
                                               .failureDomain = "dar-a",
@@ -126,7 +150,7 @@
         for (int parts = 0; request.registryGeneration < this->registry.changeGeneration(); ++parts) {
             CPPUNIT_ASSERT(parts < 10);
             ViewReply const reply = this->replyTo(request, later);
-            CPPUNIT_ASSERT(reply.targets.size() <= ViewServerSettings{}.targetsInReply + 1);
+            CPPUNIT_ASSERT(reply.targets.size() <= ViewServerSettings{}.targetsInReply);
             CPPUNIT_ASSERT((reply.extent == RegistryExtent::Full) == (parts == 0));
             for (RegisteredTarget const &target : reply.targets)
                 told[target.number] = target.state;
