EntryNodeTest: See that an entry forgets the flows told by another instance

Cause: a mutation of the review survived: an entry that does not forget, at the first answer of an instance, what another one has told of flows passed all five tests.

Change: the instances of instanceThatWasLeftTellsOnlyWhatIsNew tell of flows at a target each, and only those of the present one may count.

--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -76,7 +76,9 @@
         CPPUNIT_ASSERT(!entry.isReady());
         fixture.running.stop();
     }
-    // A control instance of the test: answers one request, and refuses the next.
+
+    // A control instance of the test: answers one request, and refuses the next. It tells of flows at one
+    // target.
     struct SourceStandIn
     {
         explicit SourceStandIn(std::uint64_t bootNumber) : boot(bootNumber) { }
@@ -92,10 +94,13 @@
             ViewReply const reply{.boot = this->boot,
                                   .registryGeneration = this->boot * 100,
                                   .isComplete = true,
-                                  .isInContact = false};
+                                  .isInContact = false,
+                                  .activity = {TargetActivity{.token = this->token(), .flows = 8}}};
             respond(HttpResponse{.body = formatViewReply(reply, Timestamp{1h})});
         }
 
+        TargetToken token() const { return TargetToken{static_cast<std::uint32_t>(this->boot)}; }
+
         std::uint64_t const boot;
         std::mutex mutex; // Guards requests.
         std::vector<ViewRequest> requests;
@@ -143,6 +148,9 @@
             CPPUNIT_ASSERT(!source->requests[1].isNewSource);
             CPPUNIT_ASSERT(source->requests[2].activity.has_value());
         }
+        NodeFixture::waitUntil("only what the present instance tells of flows counts", [&] {
+            return board.signsOf(first.token()).remoteFlows + board.signsOf(second.token()).remoteFlows == 8;
+        });
     }
 };
 
