Requests: Say "unknown" of a shed resend that may run elsewhere

TryRunner::afterShed() told the caller "not run", although the record's history was uncertain: attempt 1 ran at the first target.

Change: a shed or a confirmed cancellation is "not run" only if the record says that no other attempt may have run; else "unknown", with the same reason and Retry-After.

--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -198,8 +198,11 @@
     if (record.progress == TryProgress::Started || mayBeNewProcess)
         return this->outcomes.finished(next, {.outcome = RequestOutcome::Unknown, .reason = reason}, now);
     if (!retryAt) {
-        FinalOutcome const refusal{
-            .outcome = RequestOutcome::NotRun, .reason = reason, .retryAfter = retryAfter};
+        // This try has not run, but an earlier attempt may run at another target.
+        bool const isCertain = record.history == RunHistory::CertainlyNone;
+        FinalOutcome const refusal{.outcome = isCertain ? RequestOutcome::NotRun : RequestOutcome::Unknown,
+                                   .reason = reason,
+                                   .retryAfter = retryAfter};
         return this->outcomes.finished(next, refusal, now);
     }
     // The record in the replica group stays under the same record id: it keeps other dispatchers away for
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(endedSearchDoesNotLoseASpilledRequest);
     CPPUNIT_TEST(requestThatWentAroundIsUnknown);
     CPPUNIT_TEST(spilledRequestStaysUncertain);
+    CPPUNIT_TEST(shedOfAnUncertainRequestIsUnknown);
     CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(takeoverCountsAllSlots);
     CPPUNIT_TEST_SUITE_END();
@@ -222,6 +223,19 @@
         CPPUNIT_ASSERT_EQUAL(2U, std::get<Request>(spilled.message).attempt);
     }
 
+    // Guards against "not run" for a resend whose try was shed or cancelled before it ran: an earlier attempt
+    // may run at another target, whose bucket it was. Found by RequestFaultsTest::anyFaultsKeepOutcomesTrue.
+    void shedOfAnUncertainRequestIsUnknown()
+    {
+        Harness harness;
+        Request resend = Harness::request(1, RequestClass::Urgent, Idempotency::Idempotent);
+        resend.attempt = 2;
+        harness.send(resend);
+        harness.shed(harness.runs().at(0));
+        CPPUNIT_ASSERT(harness.refusals().empty());
+        CPPUNIT_ASSERT(harness.unknowns().at(0).reason == Reason::TargetShed);
+    }
+
     // Guards against a former dispatcher that starts a request which outlasts the time for which its
     // successor counts the slots as busy.
     void formerDispatcherStartsNoLongWork()
