Routing: Ask each target that may have a flow, and each only once

Cause: an adopted flow whose target disclaims it was led to another claimant by a redirect that only the adopting instance had. The table's dispatcher did not know of it: its next search gave the flow to the same last candidate, which adopted it again, and so on.

Change: an instance remembers which of its targets have disclaimed a flow and does not adopt it for them again. A search remembers the first target that may have the flow and comes back to it when no candidate has a record; a target that has disclaimed is no such target. When none is left, the caller is told. This takes the place of the redirect's flag and of the count of misses. The origin looks at its own candidates first: later instances leave them out.

--- a/Libraries/LibMessages/PeerMessages.h
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -92,6 +92,8 @@
     bool isOriginComplete = false;
     TargetId
         originTarget; // For a search: the target that the origin will use if no candidate knows the message.
+    // For a search: the first target visited whose dispatcher has lost records, so that it may have the flow.
+    TargetId possibleOwner;
     CallerMessage message;
 
     friend bool operator==(Forwarded const &, Forwarded const &) = default;
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -64,6 +64,7 @@
                        .candidates = std::move(forwarded.candidates),
                        .isOriginComplete = forwarded.isOriginComplete,
                        .originTarget = forwarded.originTarget,
+                       .possibleOwner = forwarded.possibleOwner,
                        .message = toFlowMessage(std::move(forwarded.message))};
 }
 
@@ -175,7 +176,7 @@
     }
     if (!std::holds_alternative<FlowData>(arrival.message))
         return;
-    if (this->knowledgeOf(arrival.target) == KnowledgeState::Partial)
+    if (this->mayOwn(key, arrival.target))
         this->adopt(arrival, key, arrival.target, now);
     else
         this->rejectUnknown(arrival, key, now);
@@ -218,6 +219,7 @@
         releaseConnection(this->blackboard, arrival.target);
         return;
     }
+    this->blackboard.disclaims.remove(open.key);
     this->atomicCounters.opened.fetch_add(1, std::memory_order_relaxed);
     this->outbox.sendToTarget(target->record.packetEndpoint, open);
     if (arrival.purpose == ForwardPurpose::Spill)
@@ -253,6 +255,7 @@
                                                   .candidates = std::move(candidates),
                                                   .isOriginComplete = false,
                                                   .originTarget = {},
+                                                  .possibleOwner = {},
                                                   .message = open});
             return;
         }
@@ -324,6 +327,26 @@
     return knowledge ? knowledge->value.state : KnowledgeState::Partial;
 }
 
+bool FlowController::mayOwn(FlowKey const &key, TargetId target) const
+{
+    if (this->knowledgeOf(target) == KnowledgeState::Complete)
+        return false;
+    return !this->blackboard.disclaims.containsWhere(key, [target](FlowDisclaim const &disclaim) {
+        return std::ranges::find(disclaim.targets, target) != disclaim.targets.end();
+    });
+}
+
+void FlowController::noteDisclaim(FlowKey const &key, TargetId target, Timestamp now)
+{
+    this->blackboard.disclaims.update(key, [&](std::optional<FlowDisclaim> const &current) {
+        FlowDisclaim next = current.value_or(FlowDisclaim{});
+        if (std::ranges::find(next.targets, target) == next.targets.end())
+            next.targets.push_back(target);
+        next.lastAdded = now;
+        return next;
+    });
+}
+
 bool FlowController::isInGrace(FlowKey const &key, TargetId target, Timestamp now) const
 {
     auto const knowledge = this->blackboard.knowledge.read(target);
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -28,6 +28,7 @@
     std::vector<TargetId> candidates; // Still to visit after `target`.
     bool isOriginComplete = false;
     TargetId originTarget;
+    TargetId possibleOwner;
     FlowMessage message;
 
     friend bool operator==(FlowArrival const &, FlowArrival const &) = default;
@@ -112,6 +113,8 @@
                          Timestamp now);
     void rememberOrigin(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     InstanceId dispatcherOfCandidate(RoutingView const &view, FlowKey const &key, TargetId candidate) const;
+    void passToCandidate(FlowArrival const &arrival, InstanceId dispatcher, std::vector<TargetId> candidates);
+    void offerToPossibleOwner(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void endSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void concludeSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void decideUnknown(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
@@ -127,6 +130,9 @@
 
     std::vector<TargetId> searchCandidates(FlowKey const &key, TargetId except) const;
     KnowledgeState knowledgeOf(TargetId target) const;
+    // Whether the target may have a flow that this instance, its dispatcher, has no record of.
+    bool mayOwn(FlowKey const &key, TargetId target) const;
+    void noteDisclaim(FlowKey const &key, TargetId target, Timestamp now);
     bool isInGrace(FlowKey const &key, TargetId target, Timestamp now) const;
     InstanceId self() const;
 
--- a/Libraries/LibRouting/FlowControllerSearch.cpp
+++ b/Libraries/LibRouting/FlowControllerSearch.cpp
@@ -46,10 +46,14 @@
     FlowArrival search = arrival;
     search.origin = this->self();
     search.originTarget = arrival.target;
+    search.possibleOwner = {};
     search.hops = std::max(arrival.hops, searchBaseHops);
-    auto const redirect = this->blackboard.redirects.read(key);
-    search.isOriginComplete = this->knowledgeOf(arrival.target) == KnowledgeState::Complete
-        || (redirect && redirect->value.isDisclaimed);
+    search.isOriginComplete = !this->mayOwn(key, arrival.target);
+    // Instances that are visited later leave out the candidates of this one.
+    auto const view = this->blackboard.routingView.read();
+    std::ranges::stable_partition(candidates, [&](TargetId candidate) {
+        return this->dispatcherOfCandidate(*view, key, candidate) == search.origin;
+    });
     this->visitCandidates(search, key, std::move(candidates), now);
 }
 
@@ -74,13 +78,14 @@
 }
 
 // Passes the message to the next candidate that another instance dispatches for. Candidates dispatched here
-// are known not to have a record of the flow; one with partial knowledge may still own it, if nobody else
-// can.
+// are known not to have a record of the flow; the first one that may have it all the same is remembered, for
+// the case that no candidate has a record.
 void FlowController::visitCandidates(FlowArrival const &arrival, FlowKey const &key,
                                      std::vector<TargetId> candidates, Timestamp now)
 {
     auto const view = this->blackboard.routingView.read();
-    bool const isData = std::holds_alternative<FlowData>(arrival.message);
+    bool const seeksOwner = arrival.isOriginComplete && std::holds_alternative<FlowData>(arrival.message);
+    FlowArrival visit = arrival;
     while (!candidates.empty()) {
         TargetId const candidate = candidates.front();
         InstanceId const dispatcher = this->dispatcherOfCandidate(*view, key, candidate);
@@ -88,26 +93,51 @@
         bool const isElsewhere =
             !dispatcher.isNone() && dispatcher != this->self() && dispatcher != arrival.origin;
         if (isElsewhere) {
-            this->outbox.sendToInstance(dispatcher,
-                                        Forwarded{.caller = arrival.caller,
-                                                  .purpose = ForwardPurpose::Search,
-                                                  .hops = static_cast<std::uint8_t>(arrival.hops + 1),
-                                                  .origin = arrival.origin,
-                                                  .candidates = std::move(candidates),
-                                                  .isOriginComplete = arrival.isOriginComplete,
-                                                  .originTarget = arrival.originTarget,
-                                                  .message = toCallerMessage(arrival.message)});
+            this->passToCandidate(visit, dispatcher, std::move(candidates));
             return;
         }
         candidates.erase(candidates.begin());
-        bool const isOnlyPossibleOwner = candidates.empty() && arrival.isOriginComplete && isData
-            && dispatcher == this->self() && this->knowledgeOf(candidate) == KnowledgeState::Partial;
-        if (isOnlyPossibleOwner) {
-            this->adopt(arrival, key, candidate, now);
-            return;
-        }
+        bool const isFirstPossibleOwner = seeksOwner && visit.possibleOwner.isNone()
+            && dispatcher == this->self() && this->mayOwn(key, candidate);
+        if (isFirstPossibleOwner)
+            visit.possibleOwner = candidate;
     }
-    this->endSearch(arrival, key, now);
+    if (visit.possibleOwner.isNone())
+        this->endSearch(visit, key, now);
+    else
+        this->offerToPossibleOwner(visit, key, now);
+}
+
+void FlowController::passToCandidate(FlowArrival const &arrival, InstanceId dispatcher,
+                                     std::vector<TargetId> candidates)
+{
+    this->outbox.sendToInstance(dispatcher,
+                                Forwarded{.caller = arrival.caller,
+                                          .purpose = ForwardPurpose::Search,
+                                          .hops = static_cast<std::uint8_t>(arrival.hops + 1),
+                                          .origin = arrival.origin,
+                                          .candidates = std::move(candidates),
+                                          .isOriginComplete = arrival.isOriginComplete,
+                                          .originTarget = arrival.originTarget,
+                                          .possibleOwner = arrival.possibleOwner,
+                                          .message = toCallerMessage(arrival.message)});
+}
+
+// No candidate has a record of the flow, so the possible owner adopts it, here or at its dispatcher. If it
+// has disclaimed the flow by then, the search ends without an owner.
+void FlowController::offerToPossibleOwner(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
+{
+    FlowArrival offer = arrival;
+    TargetId const owner = offer.possibleOwner;
+    offer.possibleOwner = {};
+    InstanceId const dispatcher =
+        this->dispatcherOfCandidate(*this->blackboard.routingView.read(), key, owner);
+    if (dispatcher == this->self() && this->mayOwn(key, owner))
+        this->adopt(offer, key, owner, now);
+    else if (dispatcher.isNone() || dispatcher == this->self())
+        this->endSearch(offer, key, now);
+    else
+        this->passToCandidate(offer, dispatcher, {owner});
 }
 
 void FlowController::endSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
@@ -121,6 +151,7 @@
                                               .candidates = {},
                                               .isOriginComplete = arrival.isOriginComplete,
                                               .originTarget = arrival.originTarget,
+                                              .possibleOwner = {},
                                               .message = toCallerMessage(arrival.message)});
         return;
     }
@@ -131,6 +162,10 @@
 
 void FlowController::concludeSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
 {
+    if (!arrival.possibleOwner.isNone()) {
+        this->offerToPossibleOwner(arrival, key, now);
+        return;
+    }
     auto const redirect = this->blackboard.redirects.read(key);
     if (!redirect) {
         this->decideUnknown(arrival, key, now);
--- a/Libraries/LibRouting/FlowControllerTargets.cpp
+++ b/Libraries/LibRouting/FlowControllerTargets.cpp
@@ -6,13 +6,6 @@
 
 namespace almondwing {
 
-namespace {
-
-// An adopted flow that this many targets in turn do not know is reported broken.
-constexpr std::uint8_t maximumMisses = 3;
-
-} // namespace
-
 void FlowController::handleFlowFound(FlowFound const &found, Timestamp now)
 {
     this->blackboard.redirects.update(found.key, [&](auto const &) {
@@ -93,39 +86,24 @@
 }
 
 // A target that does not know an adopted flow shows that the flow was adopted at the wrong target. If another
-// target claims the bucket, the next packet of the caller is led there.
+// target may have it, the next packet of the caller searches without this one.
 void FlowController::handleTargetBroken(FlowKey const &key, FlowRecord const &record, Reason reason,
                                         Timestamp now)
 {
-    auto const candidates = this->searchCandidates(key, record.target);
-    bool const isElsewhere =
-        record.state == FlowState::Adopted && !candidates.empty() && record.misses < maximumMisses;
-    bool const mayBeClaimedSoon =
-        record.state == FlowState::Adopted && this->isInGrace(key, record.target, now);
-    if (!isElsewhere && !mayBeClaimedSoon) {
+    if (record.state != FlowState::Adopted) {
         this->breakFlow(key, record, reason);
         return;
     }
-    this->blackboard.flows.remove(key);
-    releaseConnection(this->blackboard, record.target);
-    if (!isElsewhere) {
-        this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
-        return;
-    }
-    auto const view = this->blackboard.routingView.read();
-    RoutedTarget const *const next = view->findTarget(candidates.front());
-    if (next == nullptr || next->dispatcher != this->self()) {
-        FlowRedirect const redirect{
-            .target = candidates.front(), .dispatcher = {}, .isDisclaimed = true, .lastUsed = now};
-        this->blackboard.redirects.update(key, [&](auto const &) { return redirect; });
+    this->noteDisclaim(key, record.target, now);
+    bool const mayBeElsewhere =
+        !this->searchCandidates(key, record.target).empty() || this->isInGrace(key, record.target, now);
+    if (!mayBeElsewhere) {
+        this->breakFlow(key, record, reason);
         return;
     }
-    FlowRecord moved = record;
-    moved.target = next->record.id;
-    moved.targetStart = next->record.startMark;
-    moved.misses = static_cast<std::uint8_t>(record.misses + 1);
-    if (this->blackboard.flows.write(key, moved, 0) == WriteOutcome::Written)
-        adoptConnection(this->blackboard, moved.target);
+    this->blackboard.flows.remove(key);
+    releaseConnection(this->blackboard, record.target);
+    this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
 }
 
 } // namespace almondwing
--- a/Libraries/LibRouting/FlowSweeper.cpp
+++ b/Libraries/LibRouting/FlowSweeper.cpp
@@ -19,6 +19,21 @@
 // Redirects that no packet has used for this long are dropped; the search finds the flow again.
 constexpr Duration redirectLifetime = 10min;
 
+// Flows whose caller has sent nothing for this long have ended, so nobody searches for them.
+constexpr Duration disclaimLifetime = idleAfter;
+
+template<typename Table, typename Predicate>
+void removeWhere(Table &table, Predicate const &isOld)
+{
+    std::vector<FlowKey> old;
+    table.forEach([&](FlowKey const &key, auto const &value) {
+        if (isOld(value))
+            old.push_back(key);
+    });
+    for (FlowKey const &key : old)
+        table.remove(key);
+}
+
 struct EndingFlow
 {
     FlowKey key;
@@ -185,6 +200,7 @@
         this->endFlow(flow.key, flow.record, flow.reason);
     this->dropStaleClaims(*view);
     this->dropOldRedirects(now);
+    this->dropOldDisclaims(now);
 }
 
 void FlowSweeper::endFlow(FlowKey const &key, FlowRecord const &record, Reason reason)
@@ -229,13 +245,14 @@
 
 void FlowSweeper::dropOldRedirects(Timestamp now)
 {
-    std::vector<FlowKey> old;
-    this->blackboard.redirects.forEach([&](FlowKey const &key, FlowRedirect const &redirect) {
-        if (now - redirect.lastUsed > redirectLifetime)
-            old.push_back(key);
-    });
-    for (FlowKey const &key : old)
-        this->blackboard.redirects.remove(key);
+    removeWhere(this->blackboard.redirects,
+                [now](FlowRedirect const &redirect) { return now - redirect.lastUsed > redirectLifetime; });
+}
+
+void FlowSweeper::dropOldDisclaims(Timestamp now)
+{
+    removeWhere(this->blackboard.disclaims,
+                [now](FlowDisclaim const &disclaim) { return now - disclaim.lastAdded > disclaimLifetime; });
 }
 
 SweepCounters FlowSweeper::counters() const
--- a/Libraries/LibRouting/FlowSweeper.h
+++ b/Libraries/LibRouting/FlowSweeper.h
@@ -61,6 +61,7 @@
     void dropStaleClaims(RoutingView const &view);
     void completeOldKnowledge(Timestamp now);
     void dropOldRedirects(Timestamp now);
+    void dropOldDisclaims(Timestamp now);
 
     Blackboard &blackboard;
     Outbox outbox;
--- a/Libraries/LibState/Blackboard.h
+++ b/Libraries/LibState/Blackboard.h
@@ -43,6 +43,7 @@
     // Counts flows opened at a target that the table does not name, so that their buckets are claimed soon.
     std::atomic<std::uint64_t> openedExceptions = 0; // Writer: flows.
     ShardedTable<FlowKey, FlowRedirect, 16> redirects; // Writer: flows.
+    ShardedTable<FlowKey, FlowDisclaim, 16> disclaims; // Writer: flows.
     ShardedTable<FlowKey, FlowCopy, 16> flowCopies; // Writer: handover.
     ShardedTable<FlowKey, FlowCopy, 16>
         replicatedFlows; // Copied to the replica group already. Writer: handover.
--- a/Libraries/LibState/FlowRecord.h
+++ b/Libraries/LibState/FlowRecord.h
@@ -7,6 +7,7 @@
 #include <LibCore/Time.h>
 
 #include <cstdint>
+#include <vector>
 
 namespace almondwing {
 
@@ -21,7 +22,6 @@
     TargetId target;
     Endpoint caller;
     FlowState state = FlowState::Opening;
-    std::uint8_t misses = 0; // Targets that did not know the flow since it was adopted.
     std::uint64_t targetStart = 0; // Start mark of the target that accepted the flow.
     Timestamp lastFromCaller;
     Timestamp lastFromTarget;
@@ -63,12 +63,19 @@
     // Set if another dispatcher is about to open the flow at the target; this instance's view may not contain
     // it yet.
     InstanceId dispatcher;
-    // The target that the bucket table names has said that it does not know the flow, so it must be
-    // elsewhere.
-    bool isDisclaimed = false;
     Timestamp lastUsed;
 
     friend bool operator==(FlowRedirect const &, FlowRedirect const &) = default;
 };
 
+// Targets of this instance that have said that they do not know a flow. It is not adopted for them again, so
+// that a search reaches each target that may have the flow.
+struct FlowDisclaim
+{
+    std::vector<TargetId> targets;
+    Timestamp lastAdded;
+
+    friend bool operator==(FlowDisclaim const &, FlowDisclaim const &) = default;
+};
+
 } // namespace almondwing
--- a/Tests/LibWire/MessageGenerators.cpp
+++ b/Tests/LibWire/MessageGenerators.cpp
@@ -200,6 +200,7 @@
             .candidates = pickList(pickTargetId),
             .isOriginComplete = *rc::gen::arbitrary<bool>(),
             .originTarget = pickTargetId(),
+            .possibleOwner = pickTargetId(),
             .message = pickCallerMessage()};
 }
 
--- a/Tests/LibWire/WireCodecTest.cpp
+++ b/Tests/LibWire/WireCodecTest.cpp
@@ -102,6 +102,7 @@
             .candidates = std::vector(8, TargetId{~0ULL}),
             .isOriginComplete = true,
             .originTarget = TargetId{~0ULL},
+            .possibleOwner = TargetId{~0ULL},
             .message = request};
 }
 
