Requests: Say "not run" of an idempotent request only before a resend can run

Cause: an idempotent request that waits keeps the certainty of its arrival.

Change: 100 ms after its arrival an idempotent request may have been sent again, so that it ends as "unknown" with the same reason. A refusal at once, the usual one under overload, stays "not run" with its Retry-After. Non-idempotent requests keep their certainty by their records.

--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -37,6 +37,7 @@
     record.hops = arrived.hops;
     if (arrived.purpose == ForwardPurpose::Spill)
         record.spilledBy = arrived.origin;
+    record.receivedAt = now;
     record.deadline = now + std::min(arrived.request.timeLeft, this->store.times().longestDeadline);
     record.payload = std::make_shared<std::string const>(arrived.request.payload);
     record.phaseSince = now;
--- a/Libraries/LibRequests/RequestOutcomes.cpp
+++ b/Libraries/LibRequests/RequestOutcomes.cpp
@@ -75,6 +75,14 @@
     return true;
 }
 
+bool RequestOutcomes::hasCertainlyNotRun(RequestRecord const &record, Timestamp now) const
+{
+    // No records keep other dispatchers from running a resend of an idempotent request.
+    bool const mayBeResentElsewhere = record.idempotency == Idempotency::Idempotent
+        && now - record.receivedAt >= this->store.times().soonestResend;
+    return record.history == RunHistory::CertainlyNone && !mayBeResentElsewhere;
+}
+
 bool RequestOutcomes::refuse(RequestKey key, RequestPhase phase, Reason reason, Duration retryAfter,
                              Timestamp now)
 {
@@ -86,7 +94,7 @@
             // Until its quorum is complete, a takeover may run the request elsewhere.
             bool const wasPaused = phase == RequestPhase::Recording
                 && now - current.phaseSince > times.recordWait + times.pauseTolerance;
-            bool const isCertain = current.history == RunHistory::CertainlyNone && !wasPaused;
+            bool const isCertain = this->hasCertainlyNotRun(current, now) && !wasPaused;
             return this->finished(current,
                                   {.outcome = isCertain ? RequestOutcome::NotRun : RequestOutcome::Unknown,
                                    .reason = reason,
--- a/Libraries/LibRequests/RequestOutcomes.h
+++ b/Libraries/LibRequests/RequestOutcomes.h
@@ -38,6 +38,9 @@
     // Both in one: ends the request unless it has ended or is in another phase than `phase`.
     bool finish(RequestKey key, RequestPhase phase, FinalOutcome outcome, Timestamp now);
 
+    // Whether no target can have begun to run the request, for a dispatcher that has not run it.
+    bool hasCertainlyNotRun(RequestRecord const &record, Timestamp now) const;
+
     // Refuses a request that was never sent to a target from here: NotRun if no other instance can have sent
     // it either, else OutcomeUnknown.
     bool refuse(RequestKey key, RequestPhase phase, Reason reason, Duration retryAfter, Timestamp now);
--- a/Libraries/LibRequests/RequestSettings.h
+++ b/Libraries/LibRequests/RequestSettings.h
@@ -42,6 +42,9 @@
     Duration recordWait = 1s;
     Duration locateRepeatEvery = 150ms;
     Duration locateWait = 500ms;
+    // No caller sends a request again sooner than this; see "Requests" on the design page. An idempotent
+    // request that has been here for longer may have been sent again and run elsewhere.
+    Duration soonestResend = 100ms;
     Duration bucketSettleTime = 2s; // A bucket that moved less than this ago is located first.
     // A timeout noticed later than this after it was due means that the process was paused, and that another
     // instance may have taken over. Shorter than the 3 s that a takeover needs.
--- a/Libraries/LibRequests/TryRunner.cpp
+++ b/Libraries/LibRequests/TryRunner.cpp
@@ -198,8 +198,8 @@
     if (record.progress == TryProgress::Started || mayBeNewProcess)
         return this->outcomes.finished(next, {.outcome = RequestOutcome::Unknown, .reason = reason}, now);
     if (!retryAt) {
-        // This try has not run, but an earlier attempt may run at another target.
-        bool const isCertain = record.history == RunHistory::CertainlyNone;
+        // This try has not run, but another attempt may run at another target.
+        bool const isCertain = this->outcomes.hasCertainlyNotRun(record, now);
         FinalOutcome const refusal{.outcome = isCertain ? RequestOutcome::NotRun : RequestOutcome::Unknown,
                                    .reason = reason,
                                    .retryAfter = retryAfter};
--- a/Libraries/LibState/RequestRecord.h
+++ b/Libraries/LibState/RequestRecord.h
@@ -76,6 +76,7 @@
     Idempotency idempotency = Idempotency::NonIdempotent;
     std::uint8_t hops = 0;
     InstanceId spilledBy; // The instance that spilled it here, or none.
+    Timestamp receivedAt; // By this instance, for the first time.
     Timestamp deadline;
     std::shared_ptr<std::string const> payload; // Dropped when the request has finished.
 
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace almondwing {
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(requestThatWentAroundIsUnknown);
     CPPUNIT_TEST(spilledRequestStaysUncertain);
     CPPUNIT_TEST(shedOfAnUncertainRequestIsUnknown);
+    CPPUNIT_TEST(idempotentRequestThatWaitedIsUnknown);
+    CPPUNIT_TEST(lateShedOfAnIdempotentRequestIsUnknown);
     CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(takeoverCountsAllSlots);
     CPPUNIT_TEST_SUITE_END();
@@ -236,6 +239,42 @@
         CPPUNIT_ASSERT(harness.unknowns().at(0).reason == Reason::TargetShed);
     }
 
+    // Guards against "not run" for an idempotent request that waited here while a resend of it ran at the
+    // target that its bucket has moved to. Found by RequestFaultsTest::anyFaultsKeepOutcomesTrue.
+    void idempotentRequestThatWaitedIsUnknown()
+    {
+        Harness harness(1);
+        harness.sendIdempotent(1);
+        harness.sendIdempotent(2);
+        Request expired = Harness::request(3, RequestClass::Urgent, Idempotency::Idempotent);
+        expired.timeLeft = Duration::zero();
+        harness.send(expired);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size()); // No time for a resend.
+        harness.tickFor(2500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        auto const unknowns = harness.unknowns();
+        CPPUNIT_ASSERT(std::ranges::any_of(unknowns, [](OutcomeUnknown const &unknown) {
+            return unknown.key.number == 2 && unknown.reason == Reason::DeadlinePassed;
+        }));
+    }
+
+    // Guards against the same when the target sheds the request, and against losing the certainty of a shed
+    // that comes before a caller can have sent again.
+    void lateShedOfAnIdempotentRequestIsUnknown()
+    {
+        RequestSettings settings;
+        settings.maxTries = 1;
+        Harness harness(2, settings);
+        harness.sendIdempotent(1);
+        harness.sendIdempotent(2);
+        harness.shed(harness.runs().at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        harness.now += settings.soonestResend;
+        harness.shed(harness.runs().at(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        CPPUNIT_ASSERT(harness.unknowns().at(0).reason == Reason::TargetShed);
+    }
+
     // Guards against a former dispatcher that starts a request which outlasts the time for which its
     // successor counts the slots as busy.
     void formerDispatcherStartsNoLongWork()
