Requests: Do not repeat "not run" of an idempotent request that may have run since

Change: a kept "not run" of an idempotent request is repeated only within the time in which no resend can have run elsewhere. FakeCluster sorts the moves as RoutingController does.

Conclusion: no case is known in which "not run" is false.

--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -112,7 +112,7 @@
     if (!record)
         return;
     if (record->phase == RequestPhase::Finished)
-        this->outcomes.repeatOutcome(key, *record);
+        this->outcomes.repeatOutcome(key, *record, now);
     if (record->phase == RequestPhase::Elsewhere) {
         Request resend = arrived.request;
         resend.attempt = std::max(resend.attempt, 2U); // See case 10 in the header.
--- a/Libraries/LibRequests/RequestOutcomes.cpp
+++ b/Libraries/LibRequests/RequestOutcomes.cpp
@@ -139,10 +139,10 @@
     }
 }
 
-bool RequestOutcomes::isStillCertain(RequestRecord const &record) const
+bool RequestOutcomes::isStillCertain(RequestRecord const &record, Timestamp now) const
 {
     if (record.idempotency == Idempotency::Idempotent)
-        return true;
+        return this->hasCertainlyNotRun(record, now);
     auto const status = this->store.board().ownStatus.read();
     auto const view = this->store.view();
     RoutedTarget const *const routed = view->findTarget(record.target);
@@ -152,11 +152,11 @@
     return isDispatcher && (!tookOverAt || *tookOverAt <= record.phaseSince);
 }
 
-void RequestOutcomes::repeatOutcome(RequestKey key, RequestRecord const &record)
+void RequestOutcomes::repeatOutcome(RequestKey key, RequestRecord const &record, Timestamp now)
 {
     // If the caller has not seen the NotRun, a later attempt may have been run by an instance that
     // dispatched in between.
-    if (record.outcome == RequestOutcome::NotRun && !this->isStillCertain(record)) {
+    if (record.outcome == RequestOutcome::NotRun && !this->isStillCertain(record, now)) {
         this->outbox.sendToCaller(record.caller,
                                   OutcomeUnknown{.key = key, .reason = Reason::DispatcherLost});
         return;
--- a/Libraries/LibRequests/RequestOutcomes.h
+++ b/Libraries/LibRequests/RequestOutcomes.h
@@ -45,7 +45,7 @@
     // it either, else OutcomeUnknown.
     bool refuse(RequestKey key, RequestPhase phase, Reason reason, Duration retryAfter, Timestamp now);
 
-    void repeatOutcome(RequestKey key, RequestRecord const &record);
+    void repeatOutcome(RequestKey key, RequestRecord const &record, Timestamp now);
     void sendPart(RequestKey key, RequestRecord const &record, std::uint32_t part);
     void resendParts(RequestKey key, RequestRecord const &record, std::vector<std::uint32_t> const &parts);
 
@@ -59,7 +59,7 @@
     Outbox const &out() const { return this->outbox; }
 
 private:
-    bool isStillCertain(RequestRecord const &record) const;
+    bool isStillCertain(RequestRecord const &record, Timestamp now) const;
     void dropPartialAnswer(RequestKey key);
     void releaseRecords(RequestKey key, RequestRecord const &record);
     void sendFinalMessage(RequestKey key, RequestRecord const &record);
--- a/Tests/LibRequests/FakeCluster.cpp
+++ b/Tests/LibRequests/FakeCluster.cpp
@@ -194,6 +194,7 @@
                            .previous = before->targets[before->buckets[bucket]].record.id,
                            .at = this->now});
     }
+    std::ranges::stable_sort(routes->recentMoves, {}, &BucketMove::bucket);
     view.services[this->service] = routes;
     return view;
 }
--- a/Tests/LibRequests/RequestTakeoverTest.cpp
+++ b/Tests/LibRequests/RequestTakeoverTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(shedOfAnUncertainRequestIsUnknown);
     CPPUNIT_TEST(idempotentRequestThatWaitedIsUnknown);
     CPPUNIT_TEST(lateShedOfAnIdempotentRequestIsUnknown);
+    CPPUNIT_TEST(formerRefusalOfAnIdempotentRequestIsNotRepeated);
     CPPUNIT_TEST(formerDispatcherStartsNoLongWork);
     CPPUNIT_TEST(takeoverCountsAllSlots);
     CPPUNIT_TEST_SUITE_END();
@@ -275,6 +276,23 @@
         CPPUNIT_ASSERT(harness.unknowns().at(0).reason == Reason::TargetShed);
     }
 
+    // Guards against a repeated "not run" although an attempt between the refused and the present one has run
+    // elsewhere. Found by RequestFaultsTest::anyFaultsKeepOutcomesTrue.
+    void formerRefusalOfAnIdempotentRequestIsNotRepeated()
+    {
+        RequestSettings const settings;
+        Harness harness(2, settings);
+        Request request = Harness::request(1, RequestClass::Urgent, Idempotency::Idempotent);
+        request.timeLeft = Duration::zero();
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        harness.now += settings.soonestResend;
+        request.attempt = 3;
+        harness.send(request);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.refusals().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.unknowns().size());
+    }
+
     // Guards against a former dispatcher that starts a request which outlasts the time for which its
     // successor counts the slots as busy.
     void formerDispatcherStartsNoLongWork()
