Routing: Place a new flow of a reused caller port anew

Cause: a note of a flow is kept until it has been idle for the configured time. A caller that uses its port again within that time opens a new flow, which was taken for a repeat of the old opening packet and followed it, also to a target that drains, has been taken out or is cold.

Ruled out: comparing with the sequence of the latest data, which a late copy of the opening packet is behind of, too.

Change: the note keeps the sequence number of the opening packet; another one makes a new flow. Notes that began with later packets know none and stay as they were.

Before: TokenRouterTest::newFlowOfAReusedPortIsPlacedAnew red (the new flow at the draining target).

Conclusion: closed for entries that saw the opening packet.

--- a/Libraries/LibTokenRouting/FlowPlacement.cpp
+++ b/Libraries/LibTokenRouting/FlowPlacement.cpp
@@ -166,6 +166,7 @@
         board.flows.update(packet.flow, [&](std::optional<FlowNote> const &) -> std::optional<FlowNote> {
             return FlowNote{.target = chosen.token,
                             .openedAt = now,
+                            .openingSequence = packet.sequence,
                             .lastSeen = now,
                             .sequence = packet.sequence,
                             .sequenceSince = now};
--- a/Libraries/LibTokenRouting/TokenBoard.h
+++ b/Libraries/LibTokenRouting/TokenBoard.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 {
     TargetToken target;
     Timestamp openedAt; // Its first packet here.
+    std::optional<std::uint32_t> openingSequence; // Nothing if its opening packet was not seen here.
     Timestamp lastSeen;
     std::uint32_t sequence = 0; // Of the latest packet with data.
     Timestamp sequenceSince; // When that sequence was seen first.
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -17,6 +17,12 @@
         .target = target.target.number, .endpoint = target.target.endpoint, .token = target.token};
 }
 
+// A caller that uses a port again begins with another sequence number.
+bool isSameFlow(FlowNote const &note, FlowPacket const &open)
+{
+    return !note.openingSequence || *note.openingSequence == open.sequence;
+}
+
 } // namespace
 
 TokenRouter::TokenRouter(TokenBoard &tokenBoard, PlacementSettings placementSettings,
@@ -50,7 +56,8 @@
 PacketDecision TokenRouter::decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now)
 {
     TargetToken excluded;
-    if (auto const known = this->board.flows.read(packet.flow)) {
+    auto const known = this->board.flows.read(packet.flow);
+    if (known && isSameFlow(known->value, packet)) {
         // Two targets that answer the same flow would both be written to, so a repeat changes its target only
         // if the first one shows no life.
         ViewTarget const *const first = view.targetOf(known->value.target);
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(openedFlowStaysWithItsTargetOnAnyInstance);
     CPPUNIT_TEST(repeatedOpenGoesToTheSameLivingTarget);
     CPPUNIT_TEST(repeatedOpenLeavesASilentTarget);
+    CPPUNIT_TEST(newFlowOfAReusedPortIsPlacedAnew);
     CPPUNIT_TEST(unknownTokenIsHeldAndNeverGuessed);
     CPPUNIT_TEST(nothingIsDecidedWithoutConfiguration);
     CPPUNIT_TEST(flowWithoutRouteIsReset);
@@ -80,6 +81,25 @@
         CPPUNIT_ASSERT(this->fixture.checked == std::vector{first});
     }
 
+    // Guards against a new flow that goes to a draining target because its caller used the port before.
+    void newFlowOfAReusedPortIsPlacedAnew()
+    {
+        RegisteredTarget const other = testTarget(2, "dar-a");
+        RegisteredTarget draining = testTarget(1, "dar-a");
+        this->fixture.show({draining});
+        PacketDecision const opened = this->fixture.decide(openPacket(1));
+        TargetToken const token = std::get<ForwardPacket>(opened).token;
+        this->fixture.decide(dataPacket(1, token, 1001, 1));
+        draining.state = RegisteredState::Draining;
+        this->fixture.show({draining, other});
+        this->fixture.now += 10s;
+        // A late copy of the opening packet belongs to the flow that is open.
+        CPPUNIT_ASSERT(this->fixture.targetOf(this->fixture.decide(openPacket(1, 1))) == draining.number);
+        FlowPacket next = openPacket(1);
+        next.sequence = 777'000;
+        CPPUNIT_ASSERT(this->fixture.targetOf(this->fixture.decide(next)) == other.number);
+    }
+
     // Guards against a packet of one service at a target of another while the registry is behind.
     void unknownTokenIsHeldAndNeverGuessed()
     {
