Routing: Let a search that could not ask a candidate end no flow

Traced with lines for each record of the flow (trial): dar-c-2 hands the flow of desk-3 over to dar-c-1, which has just started and knows neither the record of desk-3 nor that it dispatches for it. A packet of the flow is searched there, from dar-b-2. The candidate that is not known is left out, the search ends, and dar-b-2, whose own target has disclaimed the flow, tells the caller that nobody has it.

Ruled out: lost handovers (the copy was there 110 ms before), claims (the bucket was claimed, the right instance was asked).

Change: a search carries whether a candidate could not be asked: its dispatcher does not know it, or holds a handed over copy that is not taken in. The end of such a search drops the packet of data; the caller's next one searches again. A target that the origin itself knows to be gone is no such candidate.

--- a/Libraries/LibMessages/PeerMessages.h
+++ b/Libraries/LibMessages/PeerMessages.h
@@ -94,6 +94,8 @@
         originTarget; // For a search: the target that the origin will use if no candidate knows the message.
     // For a search: the first target visited whose dispatcher has lost records, so that it may have the flow.
     TargetId possibleOwner;
+    // For a search: whether a candidate could not be asked, so that the end of the search proves nothing.
+    bool hasSkippedCandidate = false;
     CallerMessage message;
 
     friend bool operator==(Forwarded const &, Forwarded const &) = default;
--- a/Libraries/LibRouting/FlowController.cpp
+++ b/Libraries/LibRouting/FlowController.cpp
@@ -65,6 +65,7 @@
                        .isOriginComplete = forwarded.isOriginComplete,
                        .originTarget = forwarded.originTarget,
                        .possibleOwner = forwarded.possibleOwner,
+                       .hasSkippedCandidate = forwarded.hasSkippedCandidate,
                        .message = toFlowMessage(std::move(forwarded.message))};
 }
 
@@ -256,6 +257,7 @@
                                                   .isOriginComplete = false,
                                                   .originTarget = {},
                                                   .possibleOwner = {},
+                                                  .hasSkippedCandidate = false,
                                                   .message = open});
             return;
         }
@@ -299,7 +301,7 @@
 
 void FlowController::rejectUnknown(FlowArrival const &arrival, FlowKey const &key, Timestamp now)
 {
-    if (this->isInGrace(key, arrival.target, now)) {
+    if (arrival.hasSkippedCandidate || this->isInGrace(key, arrival.target, now)) {
         this->atomicCounters.droppedInGrace.fetch_add(1, std::memory_order_relaxed);
         return;
     }
--- a/Libraries/LibRouting/FlowController.h
+++ b/Libraries/LibRouting/FlowController.h
@@ -29,6 +29,7 @@
     bool isOriginComplete = false;
     TargetId originTarget;
     TargetId possibleOwner;
+    bool hasSkippedCandidate = false;
     FlowMessage message;
 
     friend bool operator==(FlowArrival const &, FlowArrival const &) = default;
@@ -113,6 +114,8 @@
                          Timestamp now);
     void rememberOrigin(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     InstanceId dispatcherOfCandidate(RoutingView const &view, FlowKey const &key, TargetId candidate) const;
+    bool cannotAsk(RoutingView const &view, FlowArrival const &arrival, FlowKey const &key,
+                   TargetId candidate) const;
     void passToCandidate(FlowArrival const &arrival, InstanceId dispatcher, std::vector<TargetId> candidates);
     void offerToPossibleOwner(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
     void endSearch(FlowArrival const &arrival, FlowKey const &key, Timestamp now);
--- a/Libraries/LibRouting/FlowControllerSearch.cpp
+++ b/Libraries/LibRouting/FlowControllerSearch.cpp
@@ -47,6 +47,7 @@
     search.origin = this->self();
     search.originTarget = arrival.target;
     search.possibleOwner = {};
+    search.hasSkippedCandidate = false;
     search.hops = std::max(arrival.hops, searchBaseHops);
     search.isOriginComplete = !this->mayOwn(key, arrival.target);
     // Instances that are visited later leave out the candidates of this one.
@@ -97,6 +98,8 @@
             return;
         }
         candidates.erase(candidates.begin());
+        visit.hasSkippedCandidate =
+            visit.hasSkippedCandidate || this->cannotAsk(*view, arrival, key, candidate);
         bool const isFirstPossibleOwner = seeksOwner && visit.possibleOwner.isNone()
             && dispatcher == this->self() && this->mayOwn(key, candidate);
         if (isFirstPossibleOwner)
@@ -108,6 +111,18 @@
         this->offerToPossibleOwner(visit, key, now);
 }
 
+// A visited instance that knows no dispatcher of the candidate has not learned of the target yet. One that is
+// the dispatcher can't tell while a handover of the flow has arrived and is not taken in. At the origin a
+// target that is gone has no flows any more, but one whose failure domain is cut off has.
+bool FlowController::cannotAsk(RoutingView const &view, FlowArrival const &arrival, FlowKey const &key,
+                               TargetId candidate) const
+{
+    if (this->dispatcherOfCandidate(view, key, candidate).isNone())
+        return arrival.origin != this->self() || view.findTarget(candidate) != nullptr;
+    return this->blackboard.flowCopies.containsWhere(
+        key, [candidate](FlowCopy const &copy) { return copy.target == candidate; });
+}
+
 void FlowController::passToCandidate(FlowArrival const &arrival, InstanceId dispatcher,
                                      std::vector<TargetId> candidates)
 {
@@ -120,6 +135,7 @@
                                           .isOriginComplete = arrival.isOriginComplete,
                                           .originTarget = arrival.originTarget,
                                           .possibleOwner = arrival.possibleOwner,
+                                          .hasSkippedCandidate = arrival.hasSkippedCandidate,
                                           .message = toCallerMessage(arrival.message)});
 }
 
@@ -152,6 +168,7 @@
                                               .isOriginComplete = arrival.isOriginComplete,
                                               .originTarget = arrival.originTarget,
                                               .possibleOwner = {},
+                                              .hasSkippedCandidate = arrival.hasSkippedCandidate,
                                               .message = toCallerMessage(arrival.message)});
         return;
     }
--- a/Libraries/LibRouting/RouteChoice.cpp
+++ b/Libraries/LibRouting/RouteChoice.cpp
@@ -64,6 +64,7 @@
         if (route.kind == RouteKind::DispatchHere || route.kind == RouteKind::ForwardToInstance)
             return route;
         forwarded.candidates.erase(forwarded.candidates.begin());
+        forwarded.hasSkippedCandidate = true;
     }
     return chooseRoute(view, self, keyOf(forwarded.message));
 }
--- a/Libraries/LibWire/PeerFields.cpp
+++ b/Libraries/LibWire/PeerFields.cpp
@@ -37,6 +37,7 @@
     out.set_is_origin_complete(message.isOriginComplete);
     out.set_origin_target(message.originTarget.value);
     out.set_possible_owner(message.possibleOwner.value);
+    out.set_has_skipped_candidate(message.hasSkippedCandidate);
     writeCallerMessage(message.message, *out.mutable_message());
 }
 
@@ -195,7 +196,9 @@
         .candidates = {},
         .isOriginComplete = reader.required(REQUIRED_FIELD(in, is_origin_complete)),
         .originTarget = TargetId{reader.required(REQUIRED_FIELD(in, origin_target))},
-        .possibleOwner = TargetId{in.possible_owner()}, // Absent in messages of earlier releases.
+        // Absent in messages of earlier releases.
+        .possibleOwner = TargetId{in.possible_owner()},
+        .hasSkippedCandidate = in.has_skipped_candidate(),
         .message = readCallerMessage(in.message(), reader)};
     message.candidates.reserve(static_cast<std::size_t>(in.candidates_size()));
     for (std::uint64_t const candidate : in.candidates())
--- a/Tests/LibRouting/FlowSearchTest.cpp
+++ b/Tests/LibRouting/FlowSearchTest.cpp
@@ -90,6 +90,9 @@
     CPPUNIT_TEST(flowIsFoundAtWhicheverClaimantHasIt);
     CPPUNIT_TEST(flowIsFoundWhenTheTableNamesAnInstanceThatLostItsRecordsToo);
     CPPUNIT_TEST(flowThatNoClaimantHasIsReportedBroken);
+    CPPUNIT_TEST(flowOfATargetThatItsDispatcherDoesNotKnowYetIsKept);
+    CPPUNIT_TEST(flowOfATargetThatIsGoneIsReportedBroken);
+    CPPUNIT_TEST(flowWhoseHandoverIsNotTakenInYetIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     void expectAllFlowsAnswer(RoutingCluster &cluster)
@@ -139,6 +142,84 @@
             CPPUNIT_ASSERT(cluster.broken.at(flow) == Reason::UnknownFlow);
         }
     }
+
+    // Two failure domains; the flows of the second one's target, which takes no new ones, are found by its
+    // claim only.
+    static void drainSecondTarget(RoutingCluster &cluster)
+    {
+        for (std::size_t index = 0; index < 2; ++index)
+            cluster.addTarget(targetName(index), fmt::format("domain-{}", index));
+        cluster.advance(3s);
+        for (std::uint64_t flow = 1; flow <= flowCount; ++flow)
+            cluster.openFlow(flow);
+        cluster.advance(1s);
+        cluster.setTargetState(targetName(1), TargetState::Draining);
+        cluster.advance(15s);
+        CPPUNIT_ASSERT(cluster.openFlowsAt(targetName(1)) > 0);
+    }
+
+    static void expectNoneBroken(RoutingCluster &cluster)
+    {
+        for (std::uint64_t flow = 1; flow <= flowCount; ++flow)
+            cluster.sendData(flow);
+        cluster.deliverAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster.broken.size());
+    }
+
+    // Guards against "unknown flow" while an instance that has just started fetches the records of targets.
+    // Found by RestartTest::gracefulRestartsCutNothing.
+    void flowOfATargetThatItsDispatcherDoesNotKnowYetIsKept()
+    {
+        RoutingCluster cluster(7, {"domain-0", "domain-1"}, 1);
+        drainSecondTarget(cluster);
+        Blackboard &restarted = cluster.blackboardOf(1);
+        for (auto const &[key, record] : restarted.flows.entries())
+            restarted.flows.remove(key);
+        auto const record = restarted.targets.read(TargetId::fromName(targetName(1)));
+        restarted.targets.remove(record->value.id);
+        restarted.knowledge.remove(record->value.id);
+        restarted.createdTargets.remove(record->value.id);
+        cluster.advance(200ms);
+        expectNoneBroken(cluster);
+
+        restarted.targets.write(record->value.id, record->value, 0);
+        cluster.advance(200ms);
+        this->expectAllFlowsAnswer(cluster);
+    }
+
+    // Guards against a caller that waits for a target that has ended and can't be asked any more.
+    void flowOfATargetThatIsGoneIsReportedBroken()
+    {
+        RoutingCluster cluster(7, {"domain-0", "domain-1"}, 1);
+        drainSecondTarget(cluster);
+        std::size_t const lost = cluster.openFlowsAt(targetName(1));
+        Blackboard &restarted = cluster.blackboardOf(1);
+        for (auto const &[key, record] : restarted.flows.entries())
+            restarted.flows.remove(key);
+        cluster.setTargetState(targetName(1), TargetState::Gone);
+        cluster.advance(searchGrace + 2s);
+        for (std::uint64_t flow = 1; flow <= flowCount; ++flow)
+            cluster.sendData(flow);
+        cluster.deliverAll();
+        CPPUNIT_ASSERT_EQUAL(lost, cluster.broken.size());
+    }
+
+    // Guards against "unknown flow" between the arrival of a handover and the table that names its receiver.
+    void flowWhoseHandoverIsNotTakenInYetIsKept()
+    {
+        RoutingCluster cluster(7, {"domain-0", "domain-1"}, 1);
+        drainSecondTarget(cluster);
+        Blackboard &successor = cluster.blackboardOf(1);
+        for (auto const &[key, record] : successor.flows.entries()) {
+            successor.flows.remove(key);
+            successor.replicatedFlows.remove(key);
+            FlowCopy const copy{.target = record.target, .caller = record.caller};
+            successor.flowCopies.write(key, copy, 0);
+        }
+        expectNoneBroken(cluster);
+        cluster.advance(idleHandoverInterval + 1s);
+        this->expectAllFlowsAnswer(cluster);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FlowSearchTest);
--- a/Tests/LibWire/MessageGenerators.cpp
+++ b/Tests/LibWire/MessageGenerators.cpp
@@ -201,6 +201,7 @@
             .isOriginComplete = *rc::gen::arbitrary<bool>(),
             .originTarget = pickTargetId(),
             .possibleOwner = pickTargetId(),
+            .hasSkippedCandidate = *rc::gen::arbitrary<bool>(),
             .message = pickCallerMessage()};
 }
 
--- a/Tests/LibWire/WireCodecTest.cpp
+++ b/Tests/LibWire/WireCodecTest.cpp
@@ -103,6 +103,7 @@
             .isOriginComplete = true,
             .originTarget = TargetId{~0ULL},
             .possibleOwner = TargetId{~0ULL},
+            .hasSkippedCandidate = true,
             .message = request};
 }
 
