Node: Acknowledge a repeated drain only when the others know, and count silent voters

Cause: found while reading ControlServer. A drain that was refused, because the other control instances could not be told, was acknowledged at the next heartbeat 1.2 s later: the record had not changed, so nothing was waited for. The end of a target was acknowledged likewise when it was said again. And an instance that had heard from nobody for 1.5 s counted only itself, so that one that is cut off acknowledged what entries of the others never learn.

Ruled out: waiting for the leader or the log (a drain changes every few seconds, and the registry spreads in one exchange).

Change: a drain or an end that is said again waits for the spread like the first one, which costs nothing once all have confirmed. The voters of the log count as control instances also when they are silent; refused targets ask the next instance.

Before: SpreadTest::repeatedDrainIsRefusedWhileTheOthersCannotBeTold red (200 instead of 503 at the second heartbeat).

Conclusion: an acknowledged drain is known to a majority. A failure domain that is cut off from the others acknowledges no drain meanwhile.

--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -296,25 +296,25 @@
     target.heardAt = now;
     target.coldUntil = now + call.coldFor;
     auto const before = this->registry.find(target.number);
-    MergeOutcome const outcome = this->registry.merge(target, now);
-    if (outcome != MergeOutcome::Changed) {
-        respond(emptyResponse());
-        return;
+    bool const hasChanged = this->registry.merge(target, now) == MergeOutcome::Changed;
+    if (hasChanged) {
+        this->report(
+            Event::TargetAnnounced,
+            fmt::format(
+                "target={:x} service={} domain={} endpoint={} state={} born={} sequence={} cold_ms={}",
+                target.number.value, target.service, target.failureDomain, target.endpoint.toString(),
+                static_cast<int>(target.state), target.order.bornMilliseconds, target.order.sequence,
+                call.coldFor.count() / 1000));
+        this->views->answerDue(now);
     }
-    this->report(
-        Event::TargetAnnounced,
-        fmt::format("target={:x} service={} domain={} endpoint={} state={} born={} sequence={} cold_ms={}",
-                    target.number.value, target.service, target.failureDomain, target.endpoint.toString(),
-                    static_cast<int>(target.state), target.order.bornMilliseconds, target.order.sequence,
-                    call.coldFor.count() / 1000));
-    this->views->answerDue(now);
-    // Only that it gets no more flows is a promise to the target.
-    if (target.state == RegisteredState::Ready) {
-        this->spreader->spread(now);
-        respond(emptyResponse());
+    // Only that it gets no more flows is a promise to the target, also when it says again that it drains.
+    if (target.state != RegisteredState::Ready) {
+        this->answerWhenSpread(fmt::format("target={:x} state=draining", target.number.value), respond);
         return;
     }
-    this->answerWhenSpread(fmt::format("target={:x} state=draining", target.number.value), respond);
+    if (hasChanged)
+        this->spreader->spread(now);
+    respond(emptyResponse());
 }
 
 void ControlServer::answer(HttpRequest const &, LeaveCall const &call, HttpRespond const &respond)
@@ -328,26 +328,26 @@
         return;
     }
     std::int64_t const born = call.bornMilliseconds.value_or(known->order.bornMilliseconds);
-    if (this->registry.markGone(call.target, born, now) != MergeOutcome::Changed) {
-        respond(emptyResponse());
-        return;
+    if (this->registry.markGone(call.target, born, now) == MergeOutcome::Changed) {
+        this->report(Event::TargetGone, fmt::format("target={:x} born={} left", call.target.value, born));
+        this->views->answerDue(now);
     }
-    this->report(Event::TargetGone, fmt::format("target={:x} born={} left", call.target.value, born));
-    this->views->answerDue(now);
     this->answerWhenSpread(fmt::format("target={:x} state=gone", call.target.value), respond);
 }
 
-// An instance that hears of the end of a target from nobody would go on sending to it, so the call is
-// acknowledged when more than half of the control instances know.
+// Entries that follow a control instance that has not heard of the end of a target go on sending to it, so
+// the call is acknowledged when more than half of the control instances know. Voters that are silent count:
+// an instance that is cut off from them can't tell the others.
 void ControlServer::answerWhenSpread(std::string const &target, HttpRespond const &respond)
 {
     Timestamp const since = IoRuntime::now();
     this->spreader->whenSpread(
         since + longestSpread, [this, since, target, respond](RegistrySpreader::SpreadResult const &result) {
-            bool const isKnown = result.holders * 2 > result.known;
+            std::size_t const known = std::max(result.known, this->log->contact()->status.voters.size());
+            bool const isKnown = result.holders * 2 > known;
             this->spreads.observe(IoRuntime::now() - since);
             this->report(Event::EndAnswered,
-                         fmt::format("{} holders={} known={} status={}", target, result.holders, result.known,
+                         fmt::format("{} holders={} known={} status={}", target, result.holders, known,
                                      isKnown ? 200 : 503));
             respond(isKnown ? emptyResponse()
                             : errorResponse(503, "too few control instances could be told; try another"));
--- a/Tests/LibNode/SpreadTest.cpp
+++ b/Tests/LibNode/SpreadTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(SpreadTest);
     CPPUNIT_TEST(drainIsAcknowledgedWhenTheOthersKnow);
     CPPUNIT_TEST(drainIsRefusedWhileTheOthersCannotBeTold);
+    CPPUNIT_TEST(repeatedDrainIsRefusedWhileTheOthersCannotBeTold);
     CPPUNIT_TEST(newProcessGetsTheWholeRegistry);
     CPPUNIT_TEST(viewAnswersOnlyAfterAWaitIfNothingHasChanged);
     CPPUNIT_TEST(badInputIsRefused);
@@ -69,6 +70,26 @@
         CPPUNIT_ASSERT_EQUAL(503U, response.status);
     }
 
+    // Guards against a target that asks again, or leaves, and is told that all know although nobody was told.
+    // The others may be taken for gone meanwhile, but they still vote.
+    void repeatedDrainIsRefusedWhileTheOthersCannotBeTold()
+    {
+        NodeFixture fixture(3);
+        fixture.callUntilDone("/replace", "3 198.18.0.1:443 orders");
+        fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+        NodeFixture::waitUntil("the others know the target",
+                               [&] { return stateAt(fixture, 2, 7) == RegisteredState::Ready; });
+        fixture.stopControl(1);
+        fixture.stopControl(2);
+        for (std::uint64_t sequence = 2; sequence < 5; ++sequence) {
+            HttpResponse const response =
+                fixture.call(0, "/heartbeat", heartbeat(7, sequence, RegisteredState::Draining));
+            CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        }
+        for (int attempt = 0; attempt < 2; ++attempt)
+            CPPUNIT_ASSERT_EQUAL(503U, fixture.call(0, "/leave", "7").status);
+    }
+
     void newProcessGetsTheWholeRegistry()
     {
         NodeFixture fixture(3);
