Routing: Partition candidates with the classic algorithm

FlowSearchTest copied a constant.

Change: std::stable_partition with iterators; the claim of the test is not const. No behaviour changes.

--- a/Libraries/LibRouting/FlowControllerSearch.cpp
+++ b/Libraries/LibRouting/FlowControllerSearch.cpp
@@ -52,7 +52,7 @@
     search.isOriginComplete = !this->mayOwn(key, arrival.target);
     // Instances that are visited later leave out the candidates of this one.
     auto const view = this->blackboard.routingView.read();
-    std::ranges::stable_partition(candidates, [&](TargetId candidate) {
+    std::stable_partition(candidates.begin(), candidates.end(), [&](TargetId candidate) {
         return this->dispatcherOfCandidate(*view, key, candidate) == search.origin;
     });
     this->visitCandidates(search, key, std::move(candidates), now);
--- a/Tests/LibRouting/FlowSearchTest.cpp
+++ b/Tests/LibRouting/FlowSearchTest.cpp
@@ -32,10 +32,10 @@
     for (std::size_t index = 0; index < cluster.instanceCount(); ++index) {
         auto const record = cluster.blackboardOf(index).targets.read(TargetId::fromName(targetName(target)));
         CPPUNIT_ASSERT(record);
-        ClaimUpdate const claim{.target = record->value.id,
-                                .service = record->value.service,
-                                .sequence = record->value.sequence,
-                                .buckets = buckets};
+        ClaimUpdate claim{.target = record->value.id,
+                          .service = record->value.service,
+                          .sequence = record->value.sequence,
+                          .buckets = buckets};
         cluster.blackboardOf(index).claims.update(claim.target, [&](auto const &) { return claim; });
     }
 }
