Requests: Pass on at a planned stop also what was searched for

A search counts a hop for each instance that it visits, and a stopping instance passed on only requests with fewer than two hops, the bound for full queues.

Replaced: RequestControllerTest::stopFinishesWhatIsQueued expected a refusal after two hops; it now sends the request with the new bound, and checks the same.

Before: stoppingInstancePassesNewWorkOn red with a request of three hops.

--- a/Libraries/LibRequests/RequestAdmission.cpp
+++ b/Libraries/LibRequests/RequestAdmission.cpp
@@ -167,7 +167,7 @@
 {
     bool const mayPassOn = this->gate == AdmissionGate::Stopping && record.deadline > now
         && !mustLocate(record) && !this->isPinned(key, record, now)
-        && record.hops < this->store.times().maxSpillHops;
+        && record.hops < this->store.times().maxPassOnHops;
     return mayPassOn && this->passToOtherDispatcher(key, record, now);
 }
 
--- a/Tests/LibRequests/RequestControllerTest.cpp
+++ b/Tests/LibRequests/RequestControllerTest.cpp
@@ -257,7 +257,8 @@
         harness.sendIdempotent(1);
         harness.sendIdempotent(2);
         harness.controller->beginStop(harness.now);
-        harness.sendIdempotent(3);
+        harness.send(Harness::request(3, RequestClass::Urgent, Idempotency::Idempotent),
+                     RequestSettings{}.maxPassOnHops);
         CPPUNIT_ASSERT(harness.refusals().at(0).reason == Reason::InstanceStopping);
         harness.answer(harness.runs().at(0));
         CPPUNIT_ASSERT(!harness.controller->isIdle());
@@ -273,7 +274,9 @@
         harness.controller->beginStop(harness.now);
         for (auto const idempotency : {Idempotency::Idempotent, Idempotency::NonIdempotent}) {
             std::uint64_t const number = idempotency == Idempotency::Idempotent ? 1 : 2;
-            harness.send(Harness::request(number, RequestClass::Bulk, idempotency), 0);
+            // The first comes right away, the second after a search at other instances.
+            std::uint8_t const hops = number == 1 ? 0 : RequestSettings{}.maxPassOnHops - 1;
+            harness.send(Harness::request(number, RequestClass::Bulk, idempotency), hops);
             CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(number), harness.toInstance.size());
             auto const &[receiver, message] = harness.toInstance.back();
             CPPUNIT_ASSERT(receiver == otherDispatcher);
