FrontEnd: Build requests and name failures of HTTP calls in one place

Cause: HttpClient (one connection a call) and HttpLink (a kept one) each built the request, took the response and named the failures themselves; a call over a kept connection lost its bearer token and the content type of the answer.

Ruled out: one class for both (a kept connection queues calls and reconnects, which a single call has no use for).

Change: HttpExchange has the request, the response and the status of a failure. Kept connections still leave out the content type of requests.

Before and after: LibFrontEnd's tests are the same ones; they run with the whole check. No behaviour changes but the token and the content type.

--- a/Libraries/LibFrontEnd/HttpClient.cpp
+++ b/Libraries/LibFrontEnd/HttpClient.cpp
@@ -5,10 +5,9 @@
 #include <boost/beast.hpp>
 
 #include <LibFrontEnd/HttpClient.h>
+#include <LibFrontEnd/HttpExchange.h>
 #include <LibFrontEnd/HttpServer.h>
 
-#include <fmt/format.h>
-
 #include <memory>
 
 namespace almondwing {
@@ -36,7 +35,7 @@
                                        if (error)
                                            self->fail(error);
                                        else {
-                                           self->isConnected = true;
+                                           self->phase = CallPhase::Connected;
                                            self->write();
                                        }
                                    });
@@ -45,16 +44,7 @@
 private:
     void write()
     {
-        this->request.method(this->call.method == HttpMethod::Post ? http::verb::post : http::verb::get);
-        this->request.target(this->call.target);
-        this->request.version(11);
-        this->request.set(http::field::host, this->call.server.toString());
-        this->request.set(http::field::content_type, "application/json");
-        if (!this->call.bearerToken.empty())
-            this->request.set(http::field::authorization, "Bearer " + this->call.bearerToken);
-        this->request.keep_alive(false);
-        this->request.body() = this->call.body;
-        this->request.prepare_payload();
+        this->request = makeRequestMessage(this->call, this->call.server.toString(), ConnectionUse::Once);
         http::async_write(this->stream, this->request,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                               if (error)
@@ -75,32 +65,18 @@
                          });
     }
 
-    void finish()
-    {
-        auto const &message = this->parser.get();
-        auto const type = message[http::field::content_type];
-        this->result(HttpResponse{.status = message.result_int(),
-                                  .contentType = std::string(type.data(), type.size()),
-                                  .body = message.body()});
-    }
+    void finish() { this->result(takeResponse(this->parser.get())); }
 
     void fail(beast::error_code error)
     {
-        std::string const text = fmt::format("HTTP call to {}{}: {}", this->call.server.toString(),
-                                             this->call.target, error.message());
-        if (!this->isConnected)
-            this->result(absl::UnavailableError(text));
-        else if (error == beast::error::timeout)
-            this->result(absl::DeadlineExceededError(text));
-        else
-            this->result(absl::AbortedError(text));
+        this->result(callFailure(this->call, this->call.server.toString(), this->phase, error));
     }
 
     beast::tcp_stream stream;
-    bool isConnected = false; // From then on the server may have got the request.
+    CallPhase phase = CallPhase::Connecting;
     HttpCall call;
     HttpResult result;
-    http::request<http::string_body> request;
+    HttpRequestMessage request;
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
 };
--- a/Libraries/LibFrontEnd/HttpLink.cpp
+++ b/Libraries/LibFrontEnd/HttpLink.cpp
@@ -4,11 +4,10 @@
 
 #include <boost/beast.hpp>
 
+#include <LibFrontEnd/HttpExchange.h>
 #include <LibFrontEnd/HttpLink.h>
 #include <LibFrontEnd/HttpServer.h>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <atomic>
 #include <deque>
@@ -68,7 +67,7 @@
     void noteConnected(beast::error_code error)
     {
         if (error) {
-            this->finish(absl::UnavailableError(this->describe(error)));
+            this->fail(CallPhase::Connecting, error);
             return;
         }
         beast::error_code ignored;
@@ -79,19 +78,11 @@
 
     void write()
     {
-        HttpCall const &call = this->calls.front().call;
-        this->request = {};
-        this->request.method(call.method == HttpMethod::Post ? http::verb::post : http::verb::get);
-        this->request.target(call.target);
-        this->request.version(11);
-        this->request.set(http::field::host, this->hostHeader);
-        this->request.keep_alive(true);
-        this->request.body() = call.body;
-        this->request.prepare_payload();
+        this->request = makeRequestMessage(this->calls.front().call, this->hostHeader, ConnectionUse::Kept);
         http::async_write(*this->stream, this->request,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                               if (error)
-                                  self->fail(error);
+                                  self->fail(CallPhase::Connected, error);
                               else
                                   self->read();
                           });
@@ -104,7 +95,7 @@
         http::async_read(*this->stream, this->buffer, *this->parser,
                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                              if (error)
-                                 self->fail(error);
+                                 self->fail(CallPhase::Connected, error);
                              else
                                  self->complete();
                          });
@@ -112,25 +103,15 @@
 
     void complete()
     {
-        auto &message = this->parser->get();
-        HttpResponse response{.status = message.result_int(), .body = std::move(message.body())};
-        if (!message.keep_alive())
+        HttpResponse response = takeResponse(this->parser->get());
+        if (!this->parser->get().keep_alive())
             this->disconnect();
         this->finish(std::move(response));
     }
 
-    void fail(beast::error_code error)
-    {
-        if (error == beast::error::timeout)
-            this->finish(absl::DeadlineExceededError(this->describe(error)));
-        else
-            this->finish(absl::AbortedError(this->describe(error)));
-    }
-
-    std::string describe(beast::error_code error) const
+    void fail(CallPhase phase, beast::error_code error)
     {
-        return fmt::format("HTTP call to {}{}: {}", this->hostHeader, this->calls.front().call.target,
-                           error.message());
+        this->finish(callFailure(this->calls.front().call, this->hostHeader, phase, error));
     }
 
     void finish(absl::StatusOr<HttpResponse> response)
@@ -172,7 +153,7 @@
     std::deque<WaitingCall> calls; // The first one is in progress.
     std::optional<beast::tcp_stream> stream; // Absent while there is no connection.
     bool isClosed = false;
-    http::request<http::string_body> request;
+    HttpRequestMessage request;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
 };
--- a/Libraries/LibFrontEnd/HttpLink.h
+++ b/Libraries/LibFrontEnd/HttpLink.h
@@ -17,9 +17,9 @@
     HttpLink(HttpLink const &) = delete;
     HttpLink &operator=(HttpLink const &) = delete;
 
-    // The server and bearer token of the call are not used. Its timeout begins when the calls before it have
-    // ended. A failed call closes the connection, and the next one opens another; see callHttp for the
-    // errors. With more than `largestWaiting` calls ahead it fails at once with ResourceExhausted.
+    // The server of the call is not used. Its timeout begins when the calls before it have ended. A failed
+    // call closes the connection, and the next one opens another; see callHttp for the errors. With more than
+    // `largestWaiting` calls ahead it fails at once with ResourceExhausted.
     void call(HttpCall call, HttpResult result);
 
     // Fails the calls that wait, with Aborted.
