Node: Let an entry stay longer while no control instance is in contact

A trial with a scaled copy of a site (288 entries, 8 control instances, 3,000 targets, everything killed at 8 s) shows entries that go from one control instance to the next every half second, because none has a leader, and each tells its whole registry anew. An instance that took 700 ms for its first answer was left with that answer.

Ruled out: memory and descriptors (20 MB, 558 files).

Change: ContactPatience decides when an instance out of contact is left: half a second after its first such answer, twice as long for each one more that was left since the last contact, 8 s at most.

Before: slowFirstAnswerDoesNotCount and entriesStayLongerWhileNoInstanceIsInContact have no decision to call; in the old code the limit counts from the choice.

--- a/Libraries/LibNode/ViewFollower.cpp
+++ b/Libraries/LibNode/ViewFollower.cpp
@@ -27,10 +27,6 @@
 // Before the next instance is asked; several that are down are tried in turn.
 constexpr Duration retryDelay = 50ms;
 
-// An instance that is out of contact is left for another after this time; in a failure domain that is cut off
-// all are.
-constexpr Duration outOfContactLimit = 500ms;
-
 // Heartbeats do not reach entries, so a record is kept well beyond the lifetime of any flow.
 constexpr Duration registryRetention = 1h;
 
@@ -74,7 +70,7 @@
     return own;
 }
 
-void ViewFollower::chooseSource(Timestamp now)
+void ViewFollower::chooseSource()
 {
     if (this->source)
         return;
@@ -85,7 +81,7 @@
     this->source = Source{.endpoint = chosen,
                           .link = std::make_shared<HttpLink>(this->runtime, chosen),
                           .position = this->positions[chosen]};
-    this->sourceSince = now;
+    this->patience.noteSource();
 }
 
 void ViewFollower::leaveSource(std::string const &reason)
@@ -99,7 +95,7 @@
 
 void ViewFollower::ask()
 {
-    this->chooseSource(IoRuntime::now());
+    this->chooseSource();
     if (!this->source) {
         this->askLater();
         return;
@@ -152,7 +148,7 @@
     // Without contact the others are asked, too; with none in contact this one is as good as any.
     if (reply->isInContact)
         this->nextCandidate = 0;
-    else if (now - this->sourceSince > outOfContactLimit)
+    if (this->patience.isOver(reply->isInContact, now))
         this->leaveSource("reason=out-of-contact");
     this->ask();
 }
--- a/Libraries/LibNode/ViewFollower.h
+++ b/Libraries/LibNode/ViewFollower.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/EventCatalogue.h>
 #include <LibFrontEnd/HttpLink.h>
+#include <LibNode/ContactPatience.h>
 #include <LibNode/NodeWire.h>
 #include <LibRegistry/PeerDirectory.h>
 #include <LibRegistry/TargetRegistry.h>
@@ -73,7 +74,7 @@
     void askLater();
     void handleReply(absl::StatusOr<HttpResponse> const &response);
     void apply(ViewReply const &reply, Timestamp now);
-    void chooseSource(Timestamp now);
+    void chooseSource();
     void leaveSource(std::string const &reason);
     void publishView(Timestamp now);
     std::vector<Endpoint> candidates() const;
@@ -93,7 +94,7 @@
     std::optional<Source> source;
     std::map<Endpoint, Position> positions; // Of all instances that have answered, to go on from there.
     std::size_t nextCandidate = 0;
-    Timestamp sourceSince;
+    ContactPatience patience;
     Timestamp nextActivity; // No report of flows before that time, unless the source is new.
     std::optional<ConfigurationView> configuration; // Its revision never falls.
     std::set<TargetNumber> overdue;
