Registry: Tell other control instances a large registry in parts

Cause: after a start of all control instances each sent its 3,000 stored targets to the seven others in one call (about 400 KB), which a slow process does not read within the timeout of 400 ms; it was sent again every second. The instances had no time for an election: contact with a majority came back 15 s after the kill, in term 9 ("partial message" in their logs tells of the calls that were given up).

Change: an exchange carries at most 250 changed targets, and the next call follows with its answer, as the views of entries do.

Before: RegistrySpreaderTest::largeRegistryIsToldInParts red (1,100 targets in one call).

--- a/Libraries/LibNode/RegistrySpreader.cpp
+++ b/Libraries/LibNode/RegistrySpreader.cpp
@@ -47,13 +47,13 @@
 // Changes go to every peer, whoever reported them, so that they pass around a partition. Heartbeats come from
 // the instance that got them, and through this one only where that instance and the peer do not hear each
 // other.
-RegistryExchange RegistrySpreader::exchangeFor(PeerLink const &link, bool isRound, Timestamp now) const
+RegistryExchange RegistrySpreader::exchangeFor(PeerLink const &link, RegistryChanges changes, bool isRound,
+                                               Timestamp now) const
 {
     RegistryExchange exchange{.from = this->settings.self,
                               .failureDomain = this->settings.failureDomain,
                               .boot = this->settings.boot};
-    for (RegistryEntry const &entry : this->registry.changedAfter(link.confirmed))
-        exchange.targets.push_back(entry.target);
+    exchange.targets = std::move(changes.targets);
     for (auto const &[endpoint, peer] : this->directory.peers()) {
         exchange.peers.push_back(peer);
         if (this->isHeard(peer, now))
@@ -82,8 +82,11 @@
     // A peer that does not answer is tried once a round.
     if (link->isCalling || (!isRound && !(hasChanges && this->isHeard(peer, now))))
         return;
-    std::uint64_t const upTo = this->registry.generation();
-    RegistryExchange const exchange = this->exchangeFor(*link, isRound, now);
+    std::uint64_t const generation = this->registry.generation();
+    RegistryChanges changes =
+        this->registry.oldestChangesAfter(link->confirmed, this->settings.targetsInExchange);
+    std::uint64_t const upTo = changes.isCut ? changes.lastGeneration : generation;
+    RegistryExchange const exchange = this->exchangeFor(*link, std::move(changes), isRound, now);
     link->isCalling = true;
     if (isRound)
         link->lastRound = now;
@@ -119,11 +122,11 @@
         this->directory.noteAlive(peer, "", now);
         if (reply->boot != link.boot) {
             // A new process has nothing; what was sent just now may have been only a difference.
-            bool const wasFull = link.confirmed == 0;
+            bool const wasFromStart = link.confirmed == 0;
             link.boot = reply->boot;
-            link.confirmed = wasFull ? sentUpTo : 0;
+            link.confirmed = wasFromStart ? sentUpTo : 0;
             link.heardConfirmed = 0;
-            needsMore = !wasFull;
+            needsMore = !wasFromStart;
         } else {
             link.confirmed = std::max(link.confirmed, sentUpTo);
             if (wasRound)
--- a/Libraries/LibNode/RegistrySpreader.h
+++ b/Libraries/LibNode/RegistrySpreader.h
@@ -27,6 +27,9 @@
     Duration callTimeout =
         400ms; // Links between failure domains take 0.5 ms; the rest is for a slow process.
     Duration peerLifetime = 1500ms; // A peer counts as heard for so long after its latest sign of life.
+    // Further changes follow with the next call. So many take about 30 KB, which a slow process reads within
+    // the timeout also when all its peers send as much.
+    std::size_t targetsInExchange = 250;
 
     friend bool operator==(SpreaderSettings const &, SpreaderSettings const &) = default;
 };
@@ -79,7 +82,8 @@
 
     std::shared_ptr<PeerLink> linkTo(Endpoint peer);
     void spreadTo(ControlPeer const &peer, Timestamp now);
-    RegistryExchange exchangeFor(PeerLink const &link, bool isRound, Timestamp now) const;
+    RegistryExchange exchangeFor(PeerLink const &link, RegistryChanges changes, bool isRound,
+                                 Timestamp now) const;
     void noteReply(Endpoint peer, PeerLink &link, std::uint64_t sentUpTo, bool wasRound,
                    absl::StatusOr<HttpResponse> const &response);
     void resolveWaiting(Timestamp now);
