Routing: Take a silent target without heartbeats for unreachable at once

Cause: a direct check without an answer counted only when two flows got none.

Ruled out: one unanswered flow as proof by itself (one packet may have been lost, silentCheckCountsOnlyWhenSeveralFlowsAreUnanswered stays).

Change: two signs of different origin count as well: the control instances miss the target's heartbeats, and the direct check is silent. When half of all targets are overdue, heartbeats are doubted.

Before: silenceOfATargetWithoutHeartbeatsCountsAtOnce red (nothing checked) with the rule switched off, heartbeatsAreDoubtedWhenHalfOfAllHaveStopped red without the doubt.

--- a/Libraries/LibTokenRouting/ServingView.cpp
+++ b/Libraries/LibTokenRouting/ServingView.cpp
@@ -45,6 +45,11 @@
     return entry == this->targets.end() ? nullptr : &entry->second;
 }
 
+bool ServingView::hasStoppedHeartbeats(ViewTarget const &target) const
+{
+    return target.isOverdue && this->overdueTargets * 2 < this->currentTargets;
+}
+
 ServingView makeServingView(FlowConfiguration const &configuration, std::vector<ViewTarget> targets,
                             std::set<std::string> domainsTakenOut)
 {
@@ -59,8 +64,14 @@
     });
     for (ViewTarget &target : targets) {
         target.token = tokenOf(target.target.number);
-        if (view.targets.emplace(target.token, target).second)
-            view.tokensOfService[target.target.service].push_back(target.token);
+        if (!view.targets.emplace(target.token, target).second)
+            continue;
+        view.tokensOfService[target.target.service].push_back(target.token);
+        if (target.target.state == RegisteredState::Gone)
+            continue;
+        ++view.currentTargets;
+        if (target.isOverdue)
+            ++view.overdueTargets;
     }
     return view;
 }
--- a/Libraries/LibTokenRouting/ServingView.h
+++ b/Libraries/LibTokenRouting/ServingView.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -33,10 +34,15 @@
     std::set<std::string> domainsTakenOut;
     Duration idleTimeout = 15s;
     bool isRegistryComplete = false; // Every target that is alive has had the time to be heard of.
+    std::size_t currentTargets = 0; // Of `targets`, those that have not ended.
+    std::size_t overdueTargets = 0; // Of those, the ones whose heartbeats have stopped.
 
     bool hasConfiguration() const { return this->configurationVersion != 0; }
     FlowRoute const *routeTo(Endpoint endpoint) const;
     ViewTarget const *targetOf(TargetToken token) const;
+    // Whether the lack of heartbeats speaks against the target. When half of all are overdue, the control
+    // instances are doubted rather than the targets.
+    bool hasStoppedHeartbeats(ViewTarget const &target) const;
 
     friend bool operator==(ServingView const &, ServingView const &) = default;
 };
--- a/Libraries/LibTokenRouting/TargetSigns.cpp
+++ b/Libraries/LibTokenRouting/TargetSigns.cpp
@@ -100,12 +100,18 @@
     });
 }
 
-void noteCheck(TokenBoard &board, TargetToken token, CheckResult result, SignSettings const &settings,
-               Timestamp now)
+bool isKnownAlive(TargetSigns const &signs, SignSettings const &settings, Timestamp now)
+{
+    return signs.aliveAt + settings.recentLife >= now;
+}
+
+void noteCheck(TokenBoard &board, TargetToken token, CheckResult result, HeartbeatState heartbeats,
+               SignSettings const &settings, Timestamp now)
 {
     board.signs.update(token, [&](std::optional<TargetSigns> signs) -> std::optional<TargetSigns> {
         TargetSigns next = signs.value_or(TargetSigns{});
-        bool const isSilenceConfirmed = next.silentFlows >= settings.flowsToConfirmSilence;
+        bool const isSilenceConfirmed = next.silentFlows >= settings.flowsToConfirmSilence
+            || (heartbeats == HeartbeatState::Stopped && !isKnownAlive(next, settings, now));
         if (result == CheckResult::Accepted)
             next.unreachableUntil = Timestamp{};
         else if (result == CheckResult::Refused || isSilenceConfirmed)
--- a/Libraries/LibTokenRouting/TargetSigns.h
+++ b/Libraries/LibTokenRouting/TargetSigns.h
@@ -53,9 +53,15 @@
     Silent, // No answer in time.
 };
 
-// The result of a direct check. A link that is cut refuses or swallows connections, which looks like a target
-// that has ended, so the evidence is short-lived and never leaves this instance.
-void noteCheck(TokenBoard &board, TargetToken token, CheckResult result, SignSettings const &settings,
-               Timestamp now);
+enum class HeartbeatState : std::uint8_t { Current, Stopped };
+
+// The result of a direct check. Silence counts at once for a target whose heartbeats have stopped. A link
+// that is cut refuses or swallows connections, which looks like a target that has ended, so the evidence is
+// short-lived and never leaves this instance.
+void noteCheck(TokenBoard &board, TargetToken token, CheckResult result, HeartbeatState heartbeats,
+               SignSettings const &settings, Timestamp now);
+
+// Whether a target was heard from through this instance a short time ago.
+bool isKnownAlive(TargetSigns const &signs, SignSettings const &settings, Timestamp now);
 
 } // namespace almondwing
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -100,6 +100,8 @@
         this->hooks.flowEstablished(packet, *target, *signs.establishedAfter);
     if (signs.verdict == SignVerdict::Suspect)
         this->raiseSuspicion(*target, packet.flow, now);
+    else if (packet.length > 0 && this->isLikelyGone(view, *target, now))
+        this->checkIfDue(*target, now);
     if (this->board.signsOf(packet.token).isUnreachableAt(now)) {
         this->checkIfDue(*target, now);
         return ResetFlow{ResetReason::TargetUnreachable};
@@ -109,12 +111,25 @@
 
 std::vector<FlowPacket> TokenRouter::noteCheck(TargetToken token, CheckResult result, Timestamp now)
 {
-    almondwing::noteCheck(this->board, token, result, this->signSettings, now);
+    HeartbeatState const heartbeats = this->board.view.select([token](ServingView const &view) {
+        ViewTarget const *const target = view.targetOf(token);
+        return target != nullptr && view.hasStoppedHeartbeats(*target) ? HeartbeatState::Stopped
+                                                                       : HeartbeatState::Current;
+    });
+    almondwing::noteCheck(this->board, token, result, heartbeats, this->signSettings, now);
     if (!this->board.signsOf(token).isUnreachableAt(now))
         return {};
     return unansweredFlows(this->board, token);
 }
 
+// Answers this load: a failure domain loses power, and most of its targets have one flow each through this
+// instance, so that no second flow confirms their silence.
+bool TokenRouter::isLikelyGone(ServingView const &view, ViewTarget const &target, Timestamp now) const
+{
+    return view.hasStoppedHeartbeats(target)
+        && !isKnownAlive(this->board.signsOf(target.token), this->signSettings, now);
+}
+
 void TokenRouter::raiseSuspicion(ViewTarget const &target, ConnectionKey const &flow, Timestamp now)
 {
     suspect(this->board, target.token, flow, this->signSettings, now);
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -38,6 +38,7 @@
 private:
     PacketDecision decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now);
     PacketDecision decideLater(ServingView const &view, FlowPacket const &packet, Timestamp now);
+    bool isLikelyGone(ServingView const &view, ViewTarget const &target, Timestamp now) const;
     void raiseSuspicion(ViewTarget const &target, ConnectionKey const &flow, Timestamp now);
     void checkIfDue(ViewTarget const &target, Timestamp now);
 
--- a/Tests/LibTokenRouting/TokenFixture.h
+++ b/Tests/LibTokenRouting/TokenFixture.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace almondwing {
@@ -57,12 +59,12 @@
 struct TokenFixture
 {
     void show(std::vector<RegisteredTarget> const &targets, std::set<std::string> takenOut = {},
-              bool isComplete = true)
+              bool isComplete = true, std::set<TargetNumber> const &overdue = {})
     {
         std::vector<ViewTarget> viewTargets;
         viewTargets.reserve(targets.size());
         for (RegisteredTarget const &target : targets)
-            viewTargets.push_back(ViewTarget{.target = target});
+            viewTargets.push_back(ViewTarget{.target = target, .isOverdue = overdue.contains(target.number)});
         ServingView view = makeServingView(this->configuration, std::move(viewTargets), std::move(takenOut));
         view.isRegistryComplete = isComplete;
         this->board.view.update([&view](ServingView const &) { return view; });
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(lifeEndsARefusal);
     CPPUNIT_TEST(waitingFlowsOfAnUnreachableTargetAreResetAtOnce);
     CPPUNIT_TEST(silentCheckCountsOnlyWhenSeveralFlowsAreUnanswered);
+    CPPUNIT_TEST(silenceOfATargetWithoutHeartbeatsCountsAtOnce);
+    CPPUNIT_TEST(targetWithoutHeartbeatsThatAnswersCallersIsNotChecked);
+    CPPUNIT_TEST(heartbeatsAreDoubtedWhenHalfOfAllHaveStopped);
     CPPUNIT_TEST(everyCopyOfAnOpenChoosesTheSameService);
     CPPUNIT_TEST_SUITE_END();
 
@@ -294,6 +297,54 @@
         CPPUNIT_ASSERT(is<ForwardPacket>(this->fixture.decide(dataPacket(3, token, 1301, 300))));
     }
 
+    // Guards against callers that wait until their deadline because a failure domain is without power and
+    // each of its many targets has one flow here.
+    void silenceOfATargetWithoutHeartbeatsCountsAtOnce()
+    {
+        std::vector const targets{testTarget(1, "dar-b"), testTarget(2, "dar-a"), testTarget(3, "dar-a")};
+        this->fixture.show(targets);
+        TargetToken const token = tokenOf(TargetNumber{1});
+        this->fixture.decide(dataPacket(1, token, 1001, 1));
+        this->fixture.decide(dataPacket(1, token, 1101, 300)); // Acknowledges an answer.
+        this->fixture.now += SignSettings{}.recentLife + 1ms;
+        this->fixture.show(targets, {}, true, {TargetNumber{1}});
+        FlowPacket const waiting = dataPacket(1, token, 1201, 300);
+        CPPUNIT_ASSERT(is<ForwardPacket>(this->fixture.decide(waiting)));
+        CPPUNIT_ASSERT(this->fixture.checked == std::vector{TargetNumber{1}});
+        this->fixture.now += 120ms;
+        auto const reset = this->fixture.router.noteCheck(token, CheckResult::Silent, this->fixture.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reset.size());
+        CPPUNIT_ASSERT(reset[0].flow == waiting.flow);
+    }
+
+    // Guards against checks that cost a target work, and the reset of its flows, while only its path to the
+    // control instances is cut.
+    void targetWithoutHeartbeatsThatAnswersCallersIsNotChecked()
+    {
+        std::vector const targets{testTarget(1, "dar-a"), testTarget(2, "dar-a"), testTarget(3, "dar-a")};
+        this->fixture.show(targets);
+        TargetToken const token = tokenOf(TargetNumber{1});
+        this->fixture.decide(dataPacket(1, token, 1001, 1));
+        this->fixture.now += 10s;
+        this->fixture.decide(dataPacket(1, token, 1101, 300)); // Acknowledges an answer.
+        this->fixture.show(targets, {}, true, {TargetNumber{1}});
+        this->fixture.now += 50ms;
+        this->fixture.decide(dataPacket(1, token, 1201, 300));
+        CPPUNIT_ASSERT(this->fixture.checked.empty());
+        CPPUNIT_ASSERT(this->fixture.router.noteCheck(token, CheckResult::Silent, this->fixture.now).empty());
+    }
+
+    void heartbeatsAreDoubtedWhenHalfOfAllHaveStopped()
+    {
+        this->fixture.show({testTarget(1, "dar-a"), testTarget(2, "dar-a")}, {}, true, {TargetNumber{1}});
+        TargetToken const token = tokenOf(TargetNumber{1});
+        this->fixture.decide(dataPacket(1, token, 1001, 1));
+        this->fixture.now += 10s;
+        this->fixture.decide(dataPacket(1, token, 1101, 1));
+        CPPUNIT_ASSERT(this->fixture.checked.empty());
+        CPPUNIT_ASSERT(this->fixture.router.noteCheck(token, CheckResult::Silent, this->fixture.now).empty());
+    }
+
     // Copies of an opening packet may reach different instances.
     void everyCopyOfAnOpenChoosesTheSameService()
     {
