Review: Say exactly what was measured and what was calculated

No behaviour changes.

Measured: format and clang-tidy of the file clean; LibFrontEnd and LibNode green after it.

--- a/Libraries/LibFrontEnd/HttpExchange.cpp
+++ b/Libraries/LibFrontEnd/HttpExchange.cpp
@@ -17,8 +17,7 @@
     message.target(call.target);
     message.version(11);
     message.set(http::field::host, host);
-    // Of the bytes of a heartbeat between two instances the header would be a tenth, and both know what they
-    // send.
+    // Instances know what they send each other, and the header would be 32 bytes of each heartbeat.
     if (use == ConnectionUse::Once)
         message.set(http::field::content_type, "application/json");
     if (!call.bearerToken.empty())
