--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -9,7 +9,8 @@
 
 using Duration = std::chrono::microseconds;
 
-// Monotonic time of one process. It is never sent to another process; messages carry durations.
+// Monotonic time that also counts suspensions of the machine; steady_clock only tags the type. Not for
+// messages.
 using Timestamp = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 using namespace std::chrono_literals;
--- a/Libraries/LibFrontEnd/IoRuntime.cpp
+++ b/Libraries/LibFrontEnd/IoRuntime.cpp
@@ -3,7 +3,13 @@
 #include <LibFrontEnd/IoContext.h>
 #include <LibFrontEnd/IoRuntime.h>
 
+#include <LibCore/Verify.h>
+
+#include <absl/cleanup/cleanup.h>
+
 #include <csignal>
+#include <ctime>
+#include <exception>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -19,8 +25,9 @@
     timer->async_wait([timer, interval, work = std::move(work)](boost::system::error_code error) {
         if (error)
             return;
+        // The next run is scheduled even if this one throws.
+        absl::Cleanup const scheduleNext = [&] { runRepeatedly(timer, interval, work); };
         work();
-        runRepeatedly(timer, interval, work);
     });
 }
 
@@ -29,8 +36,8 @@
     signals->async_wait([signals, handle = std::move(handle)](boost::system::error_code error, int) {
         if (error)
             return;
+        absl::Cleanup const waitForNext = [&] { waitForSignals(signals, handle); };
         handle();
-        waitForSignals(signals, handle);
     });
 }
 
@@ -42,7 +49,12 @@
 
 Timestamp IoRuntime::now()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    // std::chrono::steady_clock stops while the machine is suspended, so a lease or permit that expired
+    // during a suspension would still appear valid.
+    std::timespec time{};
+    VERIFY(::clock_gettime(CLOCK_BOOTTIME, &time) == 0);
+    return Timestamp(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                          + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 void IoRuntime::post(std::function<void()> work)
@@ -86,8 +98,23 @@
     auto const keepRunning = boost::asio::make_work_guard(this->io->asio);
     std::vector<std::jthread> threads;
     for (std::uint32_t index = 1; index < threadCount; ++index)
-        threads.emplace_back([this] { this->io->asio.run(); });
-    this->io->asio.run();
+        threads.emplace_back([this] { this->runLoop(); });
+    this->runLoop();
+}
+
+// Ends only the handler that threw; the loop goes on with the next one.
+void IoRuntime::runLoop()
+{
+    for (;;) {
+        try {
+            this->io->asio.run();
+            return;
+        } catch (std::exception const &error) {
+            this->failedHandlerCount.fetch_add(1, std::memory_order_relaxed);
+            if (this->reportFailedHandler)
+                this->reportFailedHandler(error.what());
+        }
+    }
 }
 
 void IoRuntime::stop()
--- a/Libraries/LibFrontEnd/IoRuntime.h
+++ b/Libraries/LibFrontEnd/IoRuntime.h
@@ -4,9 +4,12 @@
 
 #include <LibCore/Time.h>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace almondwing {
 
@@ -23,6 +26,7 @@
 
     IoContext &context() { return *this->io; }
 
+    // The time since the start of the machine, including its suspensions.
     static Timestamp now();
 
     // Runs the work on any thread of the loop as soon as possible.
@@ -41,12 +45,24 @@
     // Calls the hook for each SIGHUP.
     void onReloadSignal(std::function<void()> reload);
 
-    // Runs the loop on the given number of threads until stop() is called.
+    // Runs the loop on the given number of threads until stop() is called. An exception ends only the handler
+    // that threw it and is counted and reported.
     void run(std::uint32_t threadCount);
     void stop();
 
+    // Sets the hook that receives the message of each exception. Call it before run().
+    void onFailedHandler(std::function<void(std::string const &message)> report)
+    {
+        this->reportFailedHandler = std::move(report);
+    }
+    std::uint64_t failedHandlers() const { return this->failedHandlerCount.load(std::memory_order_relaxed); }
+
 private:
+    void runLoop();
+
     std::unique_ptr<IoContext> io;
+    std::function<void(std::string const &message)> reportFailedHandler; // Not changed while the loop runs.
+    std::atomic<std::uint64_t> failedHandlerCount{0};
 };
 
 // Runs work items one at a time and in order, on any free thread of the loop. Use it instead of a mutex
