--- a/Libraries/LibFrontEnd/HttpClient.h
+++ b/Libraries/LibFrontEnd/HttpClient.h
@@ -26,6 +26,10 @@
     // Limit for opening a connection, used by HttpConnection only; if `timeout` is shorter, `timeout`
     // applies.
     Duration connectTimeout = 5s;
+    // Used by HttpConnection only. If it is longer than `timeout`, it limits the call, and `timeout` limits
+    // each wait for further bytes of the response. A long response over a slow link then is not abandoned
+    // while it arrives, and a link that has gone silent is still detected after `timeout`.
+    Duration transferTimeout{0};
 
     friend bool operator==(HttpCall const &, HttpCall const &) = default;
 };
--- a/Libraries/LibFrontEnd/HttpConnection.cpp
+++ b/Libraries/LibFrontEnd/HttpConnection.cpp
@@ -8,10 +8,15 @@
 #include <LibFrontEnd/HttpExchange.h>
 #include <LibFrontEnd/HttpServer.h>
 
+#include <absl/cleanup/cleanup.h>
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <atomic>
 #include <deque>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace almondwing {
 
@@ -29,7 +34,7 @@
 
 } // namespace
 
-// All members except `pendingCount` are accessed on the strand only.
+// All members except the atomic ones are accessed on the strand only.
 struct HttpConnection::State : std::enable_shared_from_this<HttpConnection::State>
 {
     State(boost::asio::io_context &context, Endpoint endpoint)
@@ -51,6 +56,10 @@
 
     void startNextCall()
     {
+        if (this->stream && this->hasStrayBytes()) {
+            this->strayCount.fetch_add(1, std::memory_order_relaxed);
+            this->disconnect();
+        }
         if (this->stream) {
             this->stream->expires_after(this->calls.front().call.timeout);
             this->write();
@@ -64,6 +73,13 @@
             [self = this->shared_from_this()](beast::error_code error) { self->handleConnected(error); });
     }
 
+    // Whether the server has sent bytes after the response of the previous call.
+    bool hasStrayBytes()
+    {
+        beast::error_code error;
+        return this->buffer.size() > 0 || this->stream->socket().available(error) > 0;
+    }
+
     void handleConnected(beast::error_code error)
     {
         if (error) {
@@ -78,8 +94,11 @@
 
     void write()
     {
-        this->request =
-            makeRequestMessage(this->calls.front().call, this->hostHeader, ConnectionUse::Persistent);
+        HttpCall const &call = this->calls.front().call;
+        this->request = makeRequestMessage(call, this->hostHeader, ConnectionUse::Persistent);
+        this->callNumber = std::to_string(++this->callCount);
+        this->request.set(std::string(callNumberHeader), this->callNumber);
+        this->callDeadline = IoRuntime::now() + std::max(call.timeout, call.transferTimeout);
         http::async_write(*this->stream, this->request,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                               if (error)
@@ -93,19 +112,45 @@
     {
         this->parser.emplace();
         this->parser->body_limit(maxHttpBodyBytes);
-        http::async_read(*this->stream, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                             if (error)
-                                 self->fail(CallPhase::Connected, error);
-                             else
-                                 self->complete();
-                         });
+        this->readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(*this->stream, this->buffer, *this->parser,
+                              [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                                  if (error)
+                                      self->fail(CallPhase::Connected, error);
+                                  else if (self->parser->is_done())
+                                      self->complete();
+                                  else
+                                      self->readMore();
+                              });
     }
 
+    void readMore()
+    {
+        HttpCall const &call = this->calls.front().call;
+        if (call.transferTimeout > call.timeout)
+            this->stream->expires_after(
+                std::clamp(this->callDeadline - IoRuntime::now(), Duration(0), call.timeout));
+        this->readSome();
+    }
+
+    // A response without a call number comes from a server that doesn't repeat it. The next call then uses
+    // another connection, because a second copy could not be told from its response.
     void complete()
     {
+        auto const header = this->parser->get()[std::string(callNumberHeader)];
+        std::string_view const number(header.data(), header.size());
+        if (!number.empty() && number != this->callNumber) {
+            this->strayCount.fetch_add(1, std::memory_order_relaxed);
+            this->finish(absl::AbortedError(
+                fmt::format("HTTP call to {}: the response belongs to another call", this->hostHeader)));
+            return;
+        }
         HttpResponse response = takeResponse(this->parser->get());
-        if (!this->parser->get().keep_alive())
+        if (!this->parser->get().keep_alive() || number.empty())
             this->disconnect();
         this->finish(std::move(response));
     }
@@ -122,9 +167,12 @@
         PendingCall const finished = std::move(this->calls.front());
         this->calls.pop_front();
         this->pendingCount.fetch_sub(1);
+        // The next call starts even if the callback throws.
+        absl::Cleanup const startNext = [this] {
+            if (!this->calls.empty() && !this->isClosed)
+                this->startNextCall();
+        };
         finished.callback(std::move(response));
-        if (!this->calls.empty() && !this->isClosed)
-            this->startNextCall();
     }
 
     void disconnect()
@@ -150,10 +198,14 @@
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
     Endpoint server;
     std::string hostHeader;
+    std::atomic<std::uint64_t> strayCount{0};
     std::atomic<std::size_t> pendingCount{0}; // Calls without a result, including the one in progress.
     std::deque<PendingCall> calls; // The first one is in progress.
     std::optional<beast::tcp_stream> stream; // Absent while there is no connection.
     bool isClosed = false;
+    std::uint64_t callCount = 0;
+    std::string callNumber; // Of the call in progress.
+    Timestamp callDeadline; // The end of transferTimeout.
     HttpRequestMessage request;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
@@ -181,6 +233,11 @@
                       [state = this->state, pending] { state->enqueue(std::move(*pending)); });
 }
 
+std::uint64_t HttpConnection::strayResponses() const
+{
+    return this->state->strayCount.load(std::memory_order_relaxed);
+}
+
 void HttpConnection::close()
 {
     boost::asio::post(this->state->strand, [state = this->state] { state->close(); });
--- a/Libraries/LibFrontEnd/HttpConnection.h
+++ b/Libraries/LibFrontEnd/HttpConnection.h
@@ -5,6 +5,7 @@
 #include <LibFrontEnd/HttpClient.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 namespace almondwing {
@@ -23,6 +24,10 @@
     // at once with ResourceExhausted if `maxPendingCalls` calls are pending.
     void call(HttpCall call, HttpCallback callback);
 
+    // Responses that were not requested are counted in strayResponses() and close the connection. The call
+    // during which one arrives fails with Aborted.
+    std::uint64_t strayResponses() const;
+
     // Fails the queued calls with Aborted and cancels the call in progress.
     void close();
 
--- a/Libraries/LibFrontEnd/HttpExchange.h
+++ b/Libraries/LibFrontEnd/HttpExchange.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace almondwing {
 
@@ -24,6 +25,10 @@
 using HttpRequestMessage = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponseMessage = boost::beast::http::response<boost::beast::http::string_body>;
 
+// Header with the number of a call on its connection. HttpServer repeats it in the response, so that a late
+// second copy of an earlier response is not taken for the response of the present call.
+constexpr std::string_view callNumberHeader = "Call";
+
 HttpRequestMessage makeRequestMessage(HttpCall const &call, std::string const &host, ConnectionUse use);
 
 // Moves the body out of the message.
--- a/Libraries/LibFrontEnd/HttpServer.cpp
+++ b/Libraries/LibFrontEnd/HttpServer.cpp
@@ -4,11 +4,13 @@
 
 #include <boost/beast.hpp>
 
+#include <LibFrontEnd/HttpExchange.h>
 #include <LibFrontEnd/HttpServer.h>
 
 #include <fmt/format.h>
 
 #include <atomic>
+#include <exception>
 #include <optional>
 
 namespace almondwing {
@@ -126,13 +128,20 @@
             return;
         }
         this->responseState = ResponseState::InHandler;
-        this->shared->hooks.handle(
-            toRequest(received), [self = this->shared_from_this()](HttpResponse response) {
-                // dispatch() writes a response that is given within the handler at once, without another
-                // iteration of the event loop.
-                boost::asio::dispatch(self->stream.get_executor(),
-                                      [self, response = std::move(response)] { self->write(response); });
-            });
+        std::uint64_t const number = ++this->requestCount;
+        try {
+            this->shared->hooks.handle(
+                toRequest(received), [self = this->shared_from_this(), number](HttpResponse response) {
+                    // dispatch() writes a response that is given within the handler at once, without another
+                    // iteration of the event loop.
+                    boost::asio::dispatch(self->stream.get_executor(),
+                                          [self, number, response = std::move(response)] {
+                                              self->writeFirst(number, response);
+                                          });
+                });
+        } catch (std::exception const &error) {
+            this->handleFailure(number, error.what());
+        }
         // A deferred response has no timeout; the handler may wait, for example, for a change to be
         // committed.
         if (this->responseState == ResponseState::InHandler) {
@@ -141,6 +150,27 @@
         }
     }
 
+    // An unexpected error in the handler ends this connection only.
+    void handleFailure(std::uint64_t number, std::string const &error)
+    {
+        this->reportInvalidInput(
+            fmt::format("a request from {} caused an unexpected error: {}", this->client, error));
+        this->isFailed = true;
+        this->writeFirst(number, HttpResponse{.status = 500, .body = "{\"error\":\"unexpected error\"}"});
+    }
+
+    // Drops a second response to a request. The connection may have been used for another request since, and
+    // the client would take it for the response to that one.
+    void writeFirst(std::uint64_t number, HttpResponse const &response)
+    {
+        if (number != this->requestCount || this->responseState == ResponseState::Sent) {
+            this->reportInvalidInput(
+                fmt::format("a second response to a request from {} was dropped", this->client));
+            return;
+        }
+        this->write(response);
+    }
+
     void write(HttpResponse const &response)
     {
         this->countResponse(response);
@@ -149,7 +179,11 @@
         if (!response.location.empty())
             this->message->set(http::field::location, response.location);
         this->message->body() = response.body;
-        this->message->keep_alive(this->parser->is_done() && this->parser->get().keep_alive());
+        std::string const callNumber(callNumberHeader);
+        if (auto const number = this->parser->get().find(callNumber); number != this->parser->get().end())
+            this->message->set(callNumber, number->value());
+        this->message->keep_alive(!this->isFailed && this->parser->is_done()
+                                  && this->parser->get().keep_alive());
         this->message->prepare_payload();
         this->stream.expires_after(std::chrono::duration_cast<std::chrono::seconds>(httpIdleTimeout));
         this->responseState = ResponseState::Sent;
@@ -170,6 +204,8 @@
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> message;
+    std::uint64_t requestCount = 0; // Requests that were passed to the handler.
+    bool isFailed = false; // The handler threw; the connection ends after the response.
 };
 
 } // namespace
