--- a/Libraries/LibNode/ControlResponses.cpp
+++ b/Libraries/LibNode/ControlResponses.cpp
@@ -8,7 +8,11 @@
 
 HttpResponse errorResponse(unsigned status, std::string const &reason)
 {
-    return HttpResponse{.status = status, .body = nlohmann::json{{"error", reason}}.dump()};
+    // The reason may quote bytes of the caller that are no UTF-8.
+    constexpr int noIndent = -1;
+    return HttpResponse{.status = status,
+                        .body = nlohmann::json{{"error", reason}}.dump(
+                            noIndent, ' ', false, nlohmann::json::error_handler_t::replace)};
 }
 
 HttpResponse emptyResponse()
--- a/Libraries/LibNode/DocumentLog.cpp
+++ b/Libraries/LibNode/DocumentLog.cpp
@@ -55,18 +55,25 @@
 
 // After the data folder is opened again, the log may at first be applied only in part. The published state
 // stays until the log has been applied beyond it.
+//
+// The revision rises only with the contents, because each entry requests the whole configuration again after
+// it has risen. Log entries without a change, such as the one of each new leader, leave it as it is.
 void DocumentLog::publish(LogIndex applied)
 {
     auto const before = this->published.read();
     if (applied <= before->view.revision)
         return;
     AppliedDocument next{.state = this->stateMachine, .view = before->view};
-    next.view.revision = applied;
     next.view.domainsTakenOut.clear();
     for (auto const &[domain, service] : this->stateMachine.domains) {
         if (service == DomainServiceState::TakenOut)
             next.view.domainsTakenOut.insert(domain);
     }
+    bool const isFirst = before->view.revision == 0;
+    if (!isFirst && next.state.version == before->state.version
+        && next.view.domainsTakenOut == before->view.domainsTakenOut)
+        return;
+    next.view.revision = applied;
     if (this->stateMachine.version != before->state.version) {
         auto configuration = this->hooks.parse(*this->stateMachine.text);
         if (configuration.ok())
--- a/Libraries/LibNode/DocumentLog.h
+++ b/Libraries/LibNode/DocumentLog.h
@@ -57,6 +57,7 @@
     // decreases.
     Cell<AppliedDocument>::Snapshot applied() const { return this->published.read(); }
     Cell<LogContact>::Snapshot contact() const { return this->log.contact(); }
+    bool isInContact(Timestamp now) const { return this->log.isInContact(now); }
 
 private:
     ReplicatedLogHooks logHooks();
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -280,10 +280,15 @@
 
 std::string formatViewReply(ViewReply const &reply, Timestamp now)
 {
-    return formatViewReply(reply, reply.targets.empty() ? std::string() : targetListText(reply.targets, now));
+    return formatViewReply(
+        reply,
+        EncodedViewParts{.targets =
+                             reply.targets.empty() ? std::string() : targetListText(reply.targets, now),
+                         .configuration = reply.configuration ? formatConfiguration(*reply.configuration)
+                                                              : std::string()});
 }
 
-std::string formatViewReply(ViewReply const &reply, std::string const &targets)
+std::string formatViewReply(ViewReply const &reply, EncodedViewParts const &parts)
 {
     Json json{{"boot", reply.bootId},
               {"registry", reply.registryGeneration},
@@ -293,8 +298,6 @@
         json["cold"] = true;
     if (reply.extent == RegistryExtent::Full)
         json["full"] = true;
-    if (reply.configuration)
-        json["configuration"] = toJson(*reply.configuration);
     if (!reply.controlInstances.empty())
         json["controls"] = toJson(reply.controlInstances);
     if (!reply.activity.empty())
@@ -303,7 +306,12 @@
         json["loads"] = toJson(reply.loads);
     for (TargetNumber const number : reply.overdue)
         json["overdue"].push_back(number.value);
-    return targets.empty() ? json.dump() : withMember(json.dump(), "targets", targets);
+    std::string text = json.dump();
+    if (!parts.configuration.empty())
+        text = withMember(std::move(text), "configuration", parts.configuration);
+    if (!parts.targets.empty())
+        text = withMember(std::move(text), "targets", parts.targets);
+    return text;
 }
 
 absl::StatusOr<ViewReply> parseViewReply(std::string_view text, Timestamp now)
@@ -371,6 +379,11 @@
     });
 }
 
+std::string formatConfiguration(ConfigurationView const &view)
+{
+    return toJson(view).dump();
+}
+
 std::string formatTargets(std::vector<RegisteredTarget> const &targets, Timestamp now)
 {
     return targetListText(targets, now);
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -79,6 +79,15 @@
     friend bool operator==(ViewReply const &, ViewReply const &) = default;
 };
 
+// Parts of a view reply that are the same for many entries. An empty text stands for none.
+struct EncodedViewParts
+{
+    std::string targets; // By formatTargets().
+    std::string configuration; // By formatConfiguration().
+
+    friend bool operator==(EncodedViewParts const &, EncodedViewParts const &) = default;
+};
+
 // Changes and heartbeats that one control instance sends to another.
 struct RegistryExchange
 {
@@ -107,14 +116,16 @@
 std::string formatViewRequest(ViewRequest const &request);
 absl::StatusOr<ViewRequest> parseViewRequest(std::string_view text);
 std::string formatViewReply(ViewReply const &reply, Timestamp now);
-// Takes targets that formatTargets() has formatted already; an empty text stands for no targets.
-std::string formatViewReply(ViewReply const &reply, std::string const &targets);
+// Takes parts that are formatted already, instead of those of the reply.
+std::string formatViewReply(ViewReply const &reply, EncodedViewParts const &parts);
 absl::StatusOr<ViewReply> parseViewReply(std::string_view text, Timestamp now);
 std::string formatRegistryExchange(RegistryExchange const &exchange, Timestamp now);
 absl::StatusOr<RegistryExchange> parseRegistryExchange(std::string_view text, Timestamp now);
 std::string formatRegistryExchangeReply(RegistryExchangeReply const &reply);
 absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text);
 
+std::string formatConfiguration(ConfigurationView const &view);
+
 // A list of targets, as in a view reply and as in the copy of the registry that a control instance stores on
 // its disk.
 std::string formatTargets(std::vector<RegisteredTarget> const &targets, Timestamp now);
--- a/Libraries/LibNode/ReplicatedLog.cpp
+++ b/Libraries/LibNode/ReplicatedLog.cpp
@@ -95,16 +95,26 @@
 
 void ReplicatedLog::publish()
 {
-    LogContact next{.status = this->core->status(), .isInContact = this->core->isInContact(IoRuntime::now())};
+    Timestamp const now = IoRuntime::now();
+    LogContact next{.status = this->core->status(), .isInContact = this->core->isInContact(now)};
     if (next != *this->published.read()) {
         LogIndex const applied = next.status.appliedIndex;
         this->published.update([&next](LogContact const &) { return next; });
         this->hooks.publish(applied);
     }
+    this->contactCheckedAt = now;
     for (auto const &sendAnswer : std::exchange(this->pendingAnswers, {}))
         sendAnswer();
 }
 
+// A majority may elect another leader once it has not heard of the present one for the minimum election
+// timeout.
+bool ReplicatedLog::isInContact(Timestamp now) const
+{
+    return this->published.read()->isInContact
+        && now - this->contactCheckedAt.load() < this->settings.replication.minElectionTimeout;
+}
+
 void ReplicatedLog::answer(std::function<void(absl::Status const &)> result, absl::Status status)
 {
     this->pendingAnswers.emplace_back(
--- a/Libraries/LibNode/ReplicatedLog.h
+++ b/Libraries/LibNode/ReplicatedLog.h
@@ -9,6 +9,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <optional>
@@ -74,6 +75,10 @@
 
     Cell<LogContact>::Snapshot contact() const { return this->published.read(); }
 
+    // Whether this replica is in contact with a majority at the time `now`. After a pause of the process the
+    // last known contact does not count until the replica has checked it again.
+    bool isInContact(Timestamp now) const;
+
 private:
     ReplicationHooks coreHooks();
     void open();
@@ -89,6 +94,7 @@
     ReplicatedLogHooks hooks;
     SerialQueue queue;
     Cell<LogContact> published;
+    std::atomic<Timestamp> contactCheckedAt{Timestamp{}}; // When `published` was last brought up to date.
 
     // The members below are accessed only on the queue.
     std::optional<ReplicationCore> core; // Absent while the data folder can't be opened.
--- a/Libraries/LibNode/ViewClient.cpp
+++ b/Libraries/LibNode/ViewClient.cpp
@@ -16,12 +16,17 @@
 // A control instance answers within 400 ms, even if nothing has changed.
 constexpr Duration requestTimeout = 800ms;
 
+// A configuration of 1,400 routes takes most of a second over the link of an entry (2 Mbit/s), and longer
+// while all entries of the failure domain receive it.
+constexpr Duration transferTimeout = 5s;
+
 // Flows are reported once a second, and less often with many targets, so that reports of any size take about
 // 1.5 KB a second.
 constexpr Duration minActivityInterval = 1s;
 constexpr Duration activityIntervalPerTarget = 10ms;
 
-// A permit is renewed by every reply that grants it.
+// A permit is renewed by every reply that grants it. Its time starts with the request, because the reply may
+// wait for an entry that is paused.
 constexpr Duration coldPermitLifetime = 1s;
 
 // Delay before the next instance is tried. Several instances that are down are tried in turn.
@@ -113,10 +118,12 @@
                         .target = std::string(viewPath),
                         .body = formatViewRequest(request),
                         .timeout = requestTimeout,
-                        .connectTimeout = nodeConnectTimeout};
-    this->source->link->call(call, [this](absl::StatusOr<HttpResponse> const &response) {
-        this->queue.post([this, response] { this->handleReply(response); });
-    });
+                        .connectTimeout = nodeConnectTimeout,
+                        .transferTimeout = transferTimeout};
+    this->source->link->call(
+        call, [this, sentAt = IoRuntime::now()](absl::StatusOr<HttpResponse> const &response) {
+            this->queue.post([this, sentAt, response] { this->handleReply(response, sentAt); });
+        });
 }
 
 std::optional<std::vector<TargetActivity>> ViewClient::activityIfDue(Timestamp now)
@@ -134,7 +141,7 @@
     this->runtime.runAfter(retryDelay, [this] { this->queue.post([this] { this->sendRequest(); }); });
 }
 
-void ViewClient::handleReply(absl::StatusOr<HttpResponse> const &response)
+void ViewClient::handleReply(absl::StatusOr<HttpResponse> const &response, Timestamp sentAt)
 {
     Timestamp const now = IoRuntime::now();
     absl::StatusOr<ViewReply> const reply = response.ok() && response->isSuccess()
@@ -146,7 +153,7 @@
         this->scheduleRequest();
         return;
     }
-    this->apply(*reply, now);
+    this->apply(*reply, sentAt, now);
     // After an answer with contact, the next search begins again with the preferred instances. Without
     // contact the search continues, so that all instances get their turn.
     if (reply->isInContact)
@@ -156,7 +163,7 @@
     this->sendRequest();
 }
 
-void ViewClient::apply(ViewReply const &reply, Timestamp now)
+void ViewClient::apply(ViewReply const &reply, Timestamp sentAt, Timestamp now)
 {
     bool const isFirstAnswer = !std::exchange(this->source->hasAnswered, true);
     if (isFirstAnswer)
@@ -187,7 +194,7 @@
     });
     isChanged |= before.isRegistryComplete != this->freshness().isRegistryComplete;
     if (reply.hasColdPermit)
-        this->hooks.permitColdFlows(now + coldPermitLifetime);
+        this->hooks.permitColdFlows(sentAt + coldPermitLifetime);
     if (isFirstAnswer || reply.extent == RegistryExtent::Full)
         clearRemoteActivity(this->blackboard);
     setRemoteActivity(this->blackboard, reply.activity);
--- a/Libraries/LibNode/ViewClient.h
+++ b/Libraries/LibNode/ViewClient.h
@@ -75,8 +75,8 @@
     void sendRequest();
     std::optional<std::vector<TargetActivity>> activityIfDue(Timestamp now);
     void scheduleRequest();
-    void handleReply(absl::StatusOr<HttpResponse> const &response);
-    void apply(ViewReply const &reply, Timestamp now);
+    void handleReply(absl::StatusOr<HttpResponse> const &response, Timestamp sentAt);
+    void apply(ViewReply const &reply, Timestamp sentAt, Timestamp now);
     void chooseSource();
     void dropSource(std::string const &reason);
     void publishView(Timestamp now);
--- a/Libraries/LibNode/ViewServer.cpp
+++ b/Libraries/LibNode/ViewServer.cpp
@@ -50,7 +50,7 @@
         this->waitingRequests.push_back(WaitingRequest{.request = std::move(request),
                                                        .respond = std::move(respond),
                                                        .deadline = now + this->settings.maxWait,
-                                                       .wasInContact = this->log.contact()->isInContact,
+                                                       .wasInContact = this->log.isInContact(now),
                                                        .overdue = *this->overdue.read()});
     }
     this->answerDue(now);
@@ -63,7 +63,7 @@
         || waitingRequest.request.bootId != this->settings.bootId
         || this->registry.changeGeneration() > waitingRequest.request.registryGeneration
         || this->log.applied()->view.revision > waitingRequest.request.revision
-        || this->log.contact()->isInContact != waitingRequest.wasInContact
+        || this->log.isInContact(now) != waitingRequest.wasInContact
         || currentOverdue != waitingRequest.overdue;
 }
 
@@ -71,7 +71,7 @@
 bool ViewServer::hasColdPermit(std::string const &instance, Timestamp now) const
 {
     auto const since = this->leaderSince.read();
-    if (!since->has_value() || now - **since < permitDelay)
+    if (!this->log.isInContact(now) || !since->has_value() || now - **since < permitDelay)
         return false;
     return this->activity.rankOf(instance) < this->settings.maxColdPermits;
 }
@@ -108,6 +108,16 @@
     return encoded;
 }
 
+std::string ViewServer::encodedConfiguration(ConfigurationView const &view)
+{
+    std::scoped_lock const lock(this->encodedChangesMutex);
+    if (this->encodedRevision != view.revision) {
+        this->encodedRevision = view.revision;
+        this->configurationText = formatConfiguration(view);
+    }
+    return this->configurationText;
+}
+
 ViewReply ViewServer::makeReply(ViewRequest const &request, EncodedChanges const &encoded,
                                 std::vector<TargetNumber> currentOverdue, Timestamp now)
 {
@@ -117,11 +127,9 @@
                     .extent = isSameProcess ? RegistryExtent::Delta : RegistryExtent::Full,
                     .isRegistryComplete = !encoded.isTruncated
                         && now - this->settings.startedAt >= this->settings.completionDelay,
-                    .isInContact = this->log.contact()->isInContact,
+                    .isInContact = this->log.isInContact(now),
                     .overdue = std::move(currentOverdue)};
-    if (auto const applied = this->log.applied(); applied->view.revision > request.revision)
-        reply.configuration = applied->view;
-    if (!isSameProcess || reply.configuration) {
+    if (!isSameProcess || this->log.applied()->view.revision > request.revision) {
         for (auto const &[endpoint, peer] : this->directory.peers())
             reply.controlInstances.push_back(peer);
     }
@@ -163,8 +171,15 @@
         bool const isSameProcess = waitingRequest.request.bootId == this->settings.bootId;
         auto const encoded =
             this->encodedChangesAfter(isSameProcess ? waitingRequest.request.registryGeneration : 0, now);
+        auto const applied = this->log.applied();
+        bool const hasNewer = applied->view.revision > waitingRequest.request.revision;
         ViewReply const reply = this->makeReply(waitingRequest.request, *encoded, currentOverdue, now);
-        waitingRequest.respond(HttpResponse{.body = formatViewReply(reply, encoded->targets)});
+        waitingRequest.respond(HttpResponse{
+            .body = formatViewReply(reply,
+                                    EncodedViewParts{.targets = encoded->targets,
+                                                     .configuration = hasNewer
+                                                         ? this->encodedConfiguration(applied->view)
+                                                         : std::string()})});
     }
 }
 
--- a/Libraries/LibNode/ViewServer.h
+++ b/Libraries/LibNode/ViewServer.h
@@ -89,7 +89,9 @@
     std::shared_ptr<EncodedChanges const> encodedChangesAfter(std::uint64_t generation, Timestamp now);
     bool isDue(WaitingRequest const &waitingRequest, std::vector<TargetNumber> const &overdue,
                Timestamp now) const;
-    // Returns the reply without its targets, which are in `encoded`.
+    // A configuration of thousands of routes goes to all entries, so it is encoded once for each revision.
+    std::string encodedConfiguration(ConfigurationView const &view);
+    // Returns the reply without its targets, which are in `encoded`, and without the configuration.
     ViewReply makeReply(ViewRequest const &request, EncodedChanges const &encoded,
                         std::vector<TargetNumber> overdue, Timestamp now);
     bool hasColdPermit(std::string const &instance, Timestamp now) const;
@@ -107,9 +109,11 @@
     Cell<std::vector<GroupLoad>> publishedLoads;
     std::atomic<std::uint64_t> tokenIndexGeneration{0}; // The generation that tokenIndex was made from.
     Cell<std::optional<Timestamp>> leaderSince; // Nothing while this replica is not the leader.
-    std::mutex encodedChangesMutex; // Guards encodedChanges.
+    std::mutex encodedChangesMutex; // Guards the three members below.
     // By the generation after which the changes were made.
     std::map<std::uint64_t, std::shared_ptr<EncodedChanges const>> encodedChanges;
+    std::uint64_t encodedRevision = 0; // Of configurationText; 0 while there is none.
+    std::string configurationText;
     std::mutex mutex; // Guards waitingRequests and nextRound.
     std::vector<WaitingRequest> waitingRequests;
     Timestamp nextRound; // The earliest time of the next round of answers.
--- a/Tests/LibNode/DocumentLogTest.cpp
+++ b/Tests/LibNode/DocumentLogTest.cpp
@@ -4,8 +4,6 @@
 
 #include <LibNode/DocumentLog.h>
 
-#include <absl/cleanup/cleanup.h>
-
 namespace almondwing {
 
 class DocumentLogTest : public CppUnit::TestFixture
@@ -18,6 +16,9 @@
     CPPUNIT_TEST(minorityRefusesChangesAndReads);
     CPPUNIT_TEST(unknownFailureDomainIsRefused);
     CPPUNIT_TEST(invalidDocumentIsRefused);
+    CPPUNIT_TEST(invalidBytesAreRefused);
+    CPPUNIT_TEST(electionLeavesRevision);
+    CPPUNIT_TEST(contactExpiresDuringPause);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr char const *first = "3 198.18.0.1:443 orders";
@@ -29,34 +30,55 @@
         CPPUNIT_ASSERT_EQUAL(std::string(first), fixture.callUntilSuccess("/read", "").body);
     }
 
-    // Guards against an entry that requests the view after the acknowledgement and receives the old
-    // configuration.
-    void acknowledgedConfigurationIsInView()
+    // The log of a single replica.
+    struct SingleReplica
     {
-        TestFolder const folder;
+        ~SingleReplica() { this->running.stop(); }
+
+        bool isLeader() const { return this->log.contact()->status.role == ReplicaRole::Leader; }
+
+        void start()
+        {
+            this->log.start();
+            NodeFixture::waitUntil("the log has a leader", [&] { return this->isLeader(); });
+        }
+
+        void submit(DocumentChange const &change)
+        {
+            std::promise<bool> accepted;
+            this->log.submit(change, [&](absl::Status const &status) { accepted.set_value(status.ok()); });
+            CPPUNIT_ASSERT(valueOf(accepted.get_future()));
+        }
+
+        static constexpr char const *self = "198.18.0.2:9000";
+        TestFolder folder;
         RecordedEvents events;
-        std::promise<std::uint64_t> versionAtAcknowledgement;
         RunningRuntime running;
-        std::string const self = "198.18.0.2:9000";
-        DocumentLog log(running.runtime,
+        DocumentLog log{this->running.runtime,
                         ReplicatedLogSettings{.instance = self,
-                                              .dataFolder = folder.path,
+                                              .dataFolder = this->folder.path,
                                               .replication = {.controlInstances = {self},
                                                               .admission = VoterAdmission::AnyInstance,
                                                               .minElectionTimeout = 100ms,
                                                               .maxElectionTimeout = 200ms}},
                         DocumentLogHooks{.send = [](ReplicaEnvelope const &) {},
-                                         .knownInstances = [self] { return std::vector{self}; },
+                                         .knownInstances = [] { return std::vector<std::string>{self}; },
                                          .mayBootstrap = [] { return true; },
                                          .parse = parseTestDocument,
                                          .changed = [](AppliedDocument const &, AppliedDocument const &) {},
-                                         .report = events.reporter()});
-        absl::Cleanup const stop = [&running] { running.stop(); };
-        log.start();
-        NodeFixture::waitUntil("the log has a leader",
-                               [&] { return log.contact()->status.role == ReplicaRole::Leader; });
-        log.submit(ReplaceDocument{.version = 3, .text = first}, [&](absl::Status const &status) {
-            versionAtAcknowledgement.set_value(status.ok() ? log.applied()->view.configuration.version : 0);
+                                         .report = this->events.reporter()}};
+    };
+
+    // Guards against an entry that requests the view after the acknowledgement and receives the old
+    // configuration.
+    void acknowledgedConfigurationIsInView()
+    {
+        std::promise<std::uint64_t> versionAtAcknowledgement;
+        SingleReplica replica;
+        replica.start();
+        replica.log.submit(ReplaceDocument{.version = 3, .text = first}, [&](absl::Status const &status) {
+            versionAtAcknowledgement.set_value(status.ok() ? replica.log.applied()->view.configuration.version
+                                                           : 0);
         });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, valueOf(versionAtAcknowledgement.get_future()));
     }
@@ -109,6 +131,47 @@
         fixture.callUntilSuccess("/take-out", "dar-a");
     }
 
+    // Guards against a request with bytes that are no UTF-8 that ends the process, because the text of the
+    // refusal can't be encoded.
+    void invalidBytesAreRefused()
+    {
+        NodeFixture fixture(1);
+        CPPUNIT_ASSERT_EQUAL(404U, fixture.call(0, "/take-out", "\xff\xfe").status);
+        CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, "/replace", "4 \xff\xfe orders").status);
+        fixture.callUntilSuccess("/replace", first);
+    }
+
+    // Guards against entries that receive the whole configuration again after each election. With 294 entries
+    // and 1,365 routes this kept the control instances so busy that the next election followed.
+    void electionLeavesRevision()
+    {
+        SingleReplica replica;
+        replica.start();
+        replica.submit(ReplaceDocument{.version = 3, .text = first});
+        std::uint64_t const revision = replica.log.applied()->view.revision;
+        LogIndex const applied = replica.log.contact()->status.appliedIndex;
+        CPPUNIT_ASSERT(revision > 0);
+        replica.log.stepDown();
+        NodeFixture::waitUntil("another election", [&] {
+            return replica.isLeader() && replica.log.contact()->status.appliedIndex > applied;
+        });
+        CPPUNIT_ASSERT_EQUAL(revision, replica.log.applied()->view.revision);
+        replica.submit(TakeOutFailureDomain{"dar-a"});
+        CPPUNIT_ASSERT(replica.log.applied()->view.revision > revision);
+    }
+
+    // Guards against a control instance that resumes after a pause and tells entries that it is in contact
+    // with a majority, or grants permits, although another leader may have been elected meanwhile.
+    void contactExpiresDuringPause()
+    {
+        SingleReplica replica;
+        replica.start();
+        NodeFixture::waitUntil("the leader is in contact",
+                               [&] { return replica.log.isInContact(IoRuntime::now()); });
+        CPPUNIT_ASSERT(replica.log.contact()->isInContact);
+        CPPUNIT_ASSERT(!replica.log.isInContact(IoRuntime::now() + 1h));
+    }
+
     void invalidDocumentIsRefused()
     {
         NodeFixture fixture(3);
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(undecodableDatagramsAreCounted);
     CPPUNIT_TEST(entryHasRevisionBeforeFirstConfiguration);
     CPPUNIT_TEST(formerSourceSendsOnlyChanges);
+    CPPUNIT_TEST(permitCountsFromTheRequest);
     CPPUNIT_TEST_SUITE_END();
 
     void packetsReachTargetThroughNewEntry()
@@ -131,6 +132,47 @@
         std::vector<ViewRequest> requests;
     };
 
+    // Guards against an entry that is paused while the reply with its permit waits, and then uses the permit
+    // although the leader that granted it may have been replaced.
+    void permitCountsFromTheRequest()
+    {
+        std::mutex mutex; // Guards receivedAt.
+        std::optional<Timestamp> receivedAt;
+        std::promise<Timestamp> permittedUntil;
+        std::atomic<bool> isPermitted = false;
+        TokenBlackboard blackboard;
+        RunningRuntime running;
+        auto const opened = HttpServer::open(
+            running.runtime, anyLoopbackPort,
+            HttpServerHooks{.handle = [&](HttpRequest const &, HttpResponder const &respond) {
+                std::scoped_lock const lock(mutex);
+                if (!receivedAt)
+                    receivedAt = IoRuntime::now();
+                ViewReply const reply{.bootId = 1, .isInContact = true, .hasColdPermit = true};
+                std::string const body = formatViewReply(reply, Timestamp{1h});
+                running.runtime.runAfter(200ms, [respond, body] { respond(HttpResponse{.body = body}); });
+            }});
+        CPPUNIT_ASSERT(opened.ok());
+        ViewClient client(running.runtime,
+                          NodeSettings{.instance = "entry",
+                                       .failureDomain = "dar-a",
+                                       .seeds = {(*opened)->localEndpoint()}},
+                          blackboard,
+                          ViewClientHooks{.viewChanged = [] {},
+                                          .permitColdFlows =
+                                              [&](Timestamp until) {
+                                                  if (!isPermitted.exchange(true))
+                                                      permittedUntil.set_value(until);
+                                              },
+                                          .activity = [] { return std::vector<TargetActivity>{}; },
+                                          .report = [](Event, std::string const &) {}});
+        absl::Cleanup const stop = [&running] { running.stop(); };
+        client.start();
+        Timestamp const until = valueOf(permittedUntil.get_future());
+        std::scoped_lock const lock(mutex);
+        CPPUNIT_ASSERT(until <= *receivedAt + 1s);
+    }
+
     // Guards against an entry that requests all targets each time it switches between busy instances.
     void formerSourceSendsOnlyChanges()
     {
