--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -106,6 +106,7 @@
     void answer(HttpRequest const &request, ChangeCall const &call, HttpResponder const &respond);
     void answer(HttpRequest const &request, ReadCall const &call, HttpResponder const &respond);
     void answer(HttpRequest const &request, InvalidCall const &call, HttpResponder const &respond);
+    void answerEnd(RegisteredTarget const &target, std::string_view state, HttpResponder const &respond);
     void answerWhenSynced(std::string const &logFields, HttpResponder const &respond);
     void answerChange(HttpRequest const &request, absl::Status const &status, Timestamp since,
                       HttpResponder const &respond);
--- a/Libraries/LibNode/ControlServerAnswers.cpp
+++ b/Libraries/LibNode/ControlServerAnswers.cpp
@@ -39,7 +39,7 @@
     // A drain, also a repeated one, is acknowledged only when more than half of the control instances have
     // it. A plain heartbeat is acknowledged at once.
     if (target.state != RegisteredState::Ready) {
-        this->answerWhenSynced(fmt::format("target={:x} state=draining", target.number.value), respond);
+        this->answerEnd(target, "draining", respond);
         return;
     }
     if (hasChanged)
@@ -64,7 +64,26 @@
                      fmt::format("target={:x} born={} left", call.target.value, startMilliseconds));
         this->viewServer->answerDue(now);
     }
-    this->answerWhenSynced(fmt::format("target={:x} state=gone", call.target.value), respond);
+    RegisteredTarget ended = *known;
+    ended.state = RegisteredState::Gone;
+    ended.reportVersion.startUnixMilliseconds = startMilliseconds;
+    this->answerEnd(ended, "gone", respond);
+}
+
+// The end is stored here before it is acknowledged: after a loss of power everywhere, the copies of the other
+// control instances may be older than the acknowledgement.
+void ControlServer::answerEnd(RegisteredTarget const &target, std::string_view state,
+                              HttpResponder const &respond)
+{
+    std::string const logFields = fmt::format("target={:x} state={}", target.number.value, state);
+    this->store->recordEnd(target, [this, logFields, respond](absl::Status const &status) {
+        if (status.ok()) {
+            this->answerWhenSynced(logFields, respond);
+            return;
+        }
+        this->report(Event::EndAnswered, fmt::format("{} stored=false status=503", logFields));
+        respond(errorResponse(503, "the end can't be stored; try another control instance"));
+    });
 }
 
 // Entries whose control instance has not received the end of a target go on sending to that target, so the
--- a/Libraries/LibNode/RegistryStore.cpp
+++ b/Libraries/LibNode/RegistryStore.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <sstream>
 #include <utility>
 
 namespace almondwing {
@@ -18,6 +19,9 @@
 constexpr char const *fileName = "targets";
 constexpr char const *newFileName = "targets.new";
 
+// Ends since the latest copy, one a line. The next copy contains them, and the file begins again.
+constexpr char const *endsFileName = "ends";
+
 // A copy costs two fsync() calls. Changes since the latest copy arrive again with the next heartbeats.
 constexpr Duration saveInterval = 500ms;
 
@@ -63,9 +67,14 @@
     }
     this->disk = *std::move(opened);
     auto const file = this->disk->read(fileName);
-    if (!file.ok() || !file->has_value())
-        return;
-    auto const contents = stripHash(**file);
+    if (file.ok() && file->has_value())
+        this->mergeCopy(**file, now);
+    this->mergeEnds(now);
+}
+
+void RegistryStore::mergeCopy(std::string const &file, Timestamp now)
+{
+    auto const contents = stripHash(file);
     auto targets =
         contents ? parseTargets(*contents, now) : absl::DataLossError("the stored registry is damaged");
     if (!targets.ok()) {
@@ -78,6 +87,76 @@
     }
 }
 
+// A line that can't be read was written only in part, and its end was not acknowledged then.
+void RegistryStore::mergeEnds(Timestamp now)
+{
+    auto const file = this->disk->read(endsFileName);
+    if (!file.ok())
+        return;
+    if (!file->has_value()) {
+        if (absl::Status const status = this->createEndsFile(); !status.ok())
+            this->report(Event::RegistryNotStored, std::string(status.message()));
+        return;
+    }
+    std::istringstream lines(**file);
+    for (std::string line; std::getline(lines, line);) {
+        auto targets = parseTargets(line, now);
+        if (!targets.ok())
+            continue;
+        for (RegisteredTarget &target : *targets) {
+            target.lastSeenAt = now;
+            // The registry ignores the end of a target that it does not know.
+            RegisteredTarget known = target;
+            known.state = RegisteredState::Draining;
+            this->registry.merge(known, now);
+            this->registry.merge(target, now);
+        }
+    }
+}
+
+absl::Status RegistryStore::createEndsFile()
+{
+    TRY_STATUS(this->disk->create(endsFileName, ""));
+    return this->disk->syncFolder();
+}
+
+void RegistryStore::recordEnd(RegisteredTarget const &target, std::function<void(absl::Status const &)> done)
+{
+    {
+        std::scoped_lock const lock(this->endsMutex);
+        this->pendingEnds.push_back(PendingEnd{.target = target, .done = std::move(done)});
+    }
+    this->queue.post([this] { this->writeEnds(); });
+}
+
+void RegistryStore::writeEnds()
+{
+    std::vector<PendingEnd> ends;
+    {
+        std::scoped_lock const lock(this->endsMutex);
+        ends.swap(this->pendingEnds);
+    }
+    if (ends.empty())
+        return;
+    absl::Status const status = this->appendEnds(ends);
+    if (!status.ok())
+        this->report(Event::RegistryNotStored, std::string(status.message()));
+    for (PendingEnd const &end : ends)
+        end.done(status);
+}
+
+absl::Status RegistryStore::appendEnds(std::vector<PendingEnd> const &ends)
+{
+    if (!this->disk)
+        return absl::FailedPreconditionError("the folder of the registry can't be opened");
+    // Begins a new line, because an earlier write may have failed within its line.
+    std::string lines = "\n";
+    for (PendingEnd const &end : ends)
+        lines += formatTargets({end.target}, end.target.lastSeenAt) + "\n";
+    TRY_STATUS(this->disk->append(endsFileName, lines));
+    return this->disk->sync(endsFileName);
+}
+
 void RegistryStore::saveIfDue(Timestamp now)
 {
     std::uint64_t const generation = this->registry.changeGeneration();
@@ -107,7 +186,8 @@
     TRY_STATUS(this->disk->create(newFileName, contents));
     TRY_STATUS(this->disk->sync(newFileName));
     TRY_STATUS(this->disk->rename(newFileName, fileName));
-    return this->disk->syncFolder();
+    TRY_STATUS(this->disk->syncFolder());
+    return this->disk->truncate(endsFileName, 0);
 }
 
 } // namespace almondwing
--- a/Tests/LibNode/RegistryStoreTest.cpp
+++ b/Tests/LibNode/RegistryStoreTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(storedTargetsAreLoaded);
     CPPUNIT_TEST(damagedCopyIsIgnored);
     CPPUNIT_TEST(laterHeartbeatOverridesCopy);
+    CPPUNIT_TEST(acknowledgedEndSurvivesLossOfPower);
     CPPUNIT_TEST_SUITE_END();
 
     static RegisteredTarget sampleTarget(std::uint64_t sequence, RegisteredState state)
@@ -80,6 +81,48 @@
         CPPUNIT_ASSERT(this->loadInto(registry).empty());
     }
 
+    // Copies what a loss of power at this moment would leave. The file of ends comes first, because it begins
+    // again only after a newer copy of the targets is in place.
+    static void copyDisk(std::string const &from, std::string const &to)
+    {
+        std::filesystem::create_directories(to);
+        for (char const *name : {"ends", "targets"}) {
+            if (std::filesystem::exists(from + "/" + name))
+                std::filesystem::copy_file(from + "/" + name, to + "/" + name);
+        }
+    }
+
+    // Guards against a target that has left, or drains, and is in use again after all control instances have
+    // lost power: the stored copy may be older than the acknowledgement of its end.
+    void acknowledgedEndSurvivesLossOfPower()
+    {
+        for (RegisteredState const state : {RegisteredState::Draining, RegisteredState::Gone}) {
+            NodeFixture fixture(1);
+            std::string const disk = fixture.folders[0]->path + "/registry";
+            fixture.callUntilSuccess("/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+            NodeFixture::waitUntil("the copy has the target", [&] {
+                std::ifstream file(disk + "/targets");
+                std::string const contents{std::istreambuf_iterator<char>(file), {}};
+                return contents.find("orders") != std::string::npos;
+            });
+            if (state == RegisteredState::Gone)
+                fixture.callUntilSuccess("/leave", "7");
+            else
+                fixture.callUntilSuccess("/heartbeat", heartbeat(7, 2, state));
+            TestFolder const after;
+            copyDisk(disk, after.path + "/registry");
+            TargetRegistry registry{RegistrySettings{}};
+            RunningRuntime running;
+            RegistryStore store(running.runtime, after.path + "/registry", registry,
+                                [](Event, std::string const &) {});
+            load(store);
+            running.stop();
+            auto const restored = registry.find(TargetNumber{7});
+            CPPUNIT_ASSERT(restored.has_value());
+            CPPUNIT_ASSERT(restored->state == state);
+        }
+    }
+
     void laterHeartbeatOverridesCopy()
     {
         this->storeOne();
