--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 
@@ -15,15 +16,18 @@
 
 using Json = nlohmann::json;
 
+// A longer duration is sent as this one. Receivers refuse a whole message for a single duration beyond it.
+constexpr std::int64_t maxMilliseconds = std::int64_t{24} * 3600 * 1000;
+
 std::int64_t toMilliseconds(Duration duration)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::clamp<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
+                                    -maxMilliseconds, maxMilliseconds);
 }
 
 Duration fromMilliseconds(std::int64_t milliseconds)
 {
-    constexpr std::int64_t limit = std::int64_t{24} * 3600 * 1000;
-    if (milliseconds < -limit || milliseconds > limit)
+    if (milliseconds < -maxMilliseconds || milliseconds > maxMilliseconds)
         throw std::invalid_argument("time out of range");
     return std::chrono::milliseconds(milliseconds);
 }
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(registryExchangeRoundTrips);
     CPPUNIT_TEST(truncatedMessagesAreRejected);
     CPPUNIT_TEST(invalidFieldsAreRejected);
+    CPPUNIT_TEST(longDurationsAreAccepted);
     CPPUNIT_TEST_SUITE_END();
 
     void agesAreIndependentOfClocks()
@@ -74,6 +75,21 @@
         CPPUNIT_ASSERT(targets->front() == expected);
     }
 
+    // Guards against a target or a configuration with a very long time that makes every entry refuse the
+    // whole view, so that none gets a change any more.
+    void longDurationsAreAccepted()
+    {
+        ViewReply reply = sampleReply();
+        reply.targets.front().coldUntil = senderNow + 1000h;
+        reply.targets.front().lastSeenAt = senderNow - 1000h;
+        reply.configuration->configuration.idleTimeout = 1000h;
+        reply.configuration->configuration.coldPhase = 1000h;
+        auto const parsed = parseViewReply(formatViewReply(reply, senderNow), senderNow);
+        CPPUNIT_ASSERT_MESSAGE(std::string(parsed.status().message()), parsed.ok());
+        CPPUNIT_ASSERT(parsed->targets.front().coldUntil == senderNow + 24h);
+        CPPUNIT_ASSERT(parsed->configuration->configuration.idleTimeout == 24h);
+    }
+
     // Guards against records that are written without escaping quotes and control characters.
     void namesWithSpecialCharactersRoundTrip()
     {
