--- a/Tests/Deployment/OperatorTest.cpp
+++ b/Tests/Deployment/OperatorTest.cpp
@@ -3,10 +3,13 @@
 
 #include "Deployment.h"
 
+#include <LibFrontEnd/HttpServer.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <thread>
 
@@ -16,6 +19,7 @@
 
 constexpr int exitConflict = 3;
 constexpr int exitUnreachable = 4;
+constexpr int exitUnknown = 5;
 constexpr int exitUnauthorized = 7;
 
 // Exceeds the maximum election timeout of 6 s, so that the other replicas start an election meanwhile.
@@ -74,6 +78,7 @@
     CPPUNIT_TEST(restartOfAllKeepsTheVersion);
     CPPUNIT_TEST(resumedLeaderRevertsNothing);
     CPPUNIT_TEST(changeDuringAnElectionIsAccepted);
+    CPPUNIT_TEST(lostAnswerIsReportedAsUnknown);
     CPPUNIT_TEST(changeWithoutMajorityStaysUnconfirmed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +187,30 @@
                              acceptedVersion(deployment.runCtlAt(others, {"drain", "desk-2"})));
     }
 
+    // Guards against "nothing was changed" after an attempt whose answer was lost: the change may be in
+    // force.
+    void lostAnswerIsReportedAsUnknown()
+    {
+        std::atomic<int> changes = 0;
+        IoRuntime runtime;
+        auto const server = HttpServer::open(
+            runtime, Endpoint{.address = 0x7f000001, .port = 0},
+            HttpServerHooks{.handle = [&](HttpRequest const &, HttpResponder const &respond) {
+                // Without an answer the connection is closed when the last copy of the responder is gone.
+                if (++changes > 1)
+                    respond(HttpResponse{.status = 503, .body = R"({"error":"nothing was changed"})"});
+            }});
+        CPPUNIT_ASSERT(server.ok());
+        std::jthread const loop([&runtime] { runtime.run(1); });
+        Deployment deployment;
+        InstanceSpec losing = deployment.instances().front();
+        losing.http = (*server)->localEndpoint();
+        CommandResult const result = deployment.runCtlAt({losing}, {"drain", "desk-2"});
+        runtime.stop();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.output + result.errors, exitUnknown, result.exitCode);
+        CPPUNIT_ASSERT(changes > 1);
+    }
+
     // Guards against a change that is acknowledged, or refused as "nothing was changed", although
     // neither is certain while the majority of the disks is unavailable.
     void changeWithoutMajorityStaysUnconfirmed()
--- a/Utilities/almondwingctl/ChangeCommand.cpp
+++ b/Utilities/almondwingctl/ChangeCommand.cpp
@@ -40,27 +40,42 @@
     return fmt::format("ctl-{:08x}{:08x}{:08x}", device(), device(), device());
 }
 
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusGatewayTimeout = 504;
+
 bool isRetryable(absl::StatusOr<HttpResponse> const &response)
 {
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
     return !response.ok() || response->status == statusUnavailable
         || response->status == statusGatewayTimeout;
 }
 
+// Whether the attempt may have changed the configuration although its response doesn't tell the outcome.
+bool isOutcomeUnknown(absl::StatusOr<HttpResponse> const &response)
+{
+    return response.ok() ? response->status == statusGatewayTimeout : !absl::IsUnavailable(response.status());
+}
+
+struct SentChange
+{
+    absl::StatusOr<HttpResponse> lastResponse;
+    bool isEarlierUnknown = false; // The outcome of an attempt before the last one is unknown.
+};
+
 // Sends the change until there is an outcome. Every attempt has the same request id, so the change is applied
 // at most once.
-absl::StatusOr<HttpResponse> sendWithRetries(ClientOptions const &client, std::string const &body)
+SentChange sendWithRetries(ClientOptions const &client, std::string const &body)
 {
     HttpCall const call{
         .method = HttpMethod::Post, .target = "/v1/changes", .body = body, .timeout = changeTimeout};
     Timestamp const end = IoRuntime::now() + retryWindow;
-    auto response = callServers(client, call);
-    while (isRetryable(response) && IoRuntime::now() < end) {
+    SentChange sent{.lastResponse = callServers(client, call)};
+    while (isRetryable(sent.lastResponse) && IoRuntime::now() < end) {
+        sent.isEarlierUnknown |= isOutcomeUnknown(sent.lastResponse);
         sleepFor(retryDelay);
-        response = callServers(client, call);
+        sent.lastResponse = callServers(client, call);
     }
-    return response;
+    return sent;
 }
 
 ExitCode showCoverage(ClientOptions const &client, std::uint64_t version, std::chrono::seconds wait)
@@ -113,9 +128,6 @@
                              : std::string("nothing was changed"));
         return isUnknown ? ExitCode::Unknown : ExitCode::Unavailable;
     }
-    constexpr unsigned statusUnauthorized = 401;
-    constexpr unsigned statusUnavailable = 503;
-    constexpr unsigned statusGatewayTimeout = 504;
     fmt::print(stderr, "almondwingctl: {}\n", errorText(response->body));
     switch (response->status) {
     case statusUnauthorized:
@@ -130,6 +142,22 @@
     }
 }
 
+// A refusal of the last attempt says nothing about an earlier attempt whose answer was lost.
+ExitCode showFailure(std::string const &requestId, SentChange const &sent)
+{
+    if (!sent.isEarlierUnknown)
+        return showFailure(requestId, sent.lastResponse);
+    std::string const reason = sent.lastResponse.ok() ? errorText(sent.lastResponse->body)
+                                                      : std::string(sent.lastResponse.status().message());
+    fmt::print(
+        stderr,
+        "almondwingctl: last attempt: {}\n"
+        "almondwingctl: the answer to an earlier attempt was lost, so the outcome is unknown; resend with "
+        "--request-id {}\n",
+        reason, requestId);
+    return ExitCode::Unknown;
+}
+
 std::optional<std::uint64_t> currentVersion(ClientOptions const &client)
 {
     auto const response = callServers(client, HttpCall{.target = "/v1/configuration"});
@@ -147,13 +175,13 @@
 {
     std::string const requestId = options.requestId.empty() ? randomRequestId() : options.requestId;
     ChangeRequest const request{.requestId = requestId, .baseVersion = options.baseVersion, .change = change};
-    auto const response = sendWithRetries(client, formatChangeRequest(request));
-    if (!response.ok())
-        return showFailure(requestId, response);
-    auto const outcome = parseChangeOutcome(response->body);
+    SentChange const sent = sendWithRetries(client, formatChangeRequest(request));
+    if (!sent.lastResponse.ok())
+        return showFailure(requestId, sent);
+    auto const outcome = parseChangeOutcome(sent.lastResponse->body);
     if (auto const *const decided = std::get_if<ChangeOutcome>(&outcome))
         return showOutcome(client, options, requestId, *decided);
-    return showFailure(requestId, response);
+    return showFailure(requestId, sent);
 }
 
 ExitCode applyManifestFile(ClientOptions const &client, ChangeOptions options, std::string const &path)
