--- a/Libraries/LibConfiguration/DocumentState.cpp
+++ b/Libraries/LibConfiguration/DocumentState.cpp
@@ -36,6 +36,15 @@
     return state;
 }
 
+RevisedDocument applyDocumentEntry(RevisedDocument document, std::uint64_t index,
+                                   DocumentChange const &change)
+{
+    if (isNoOp(document.state, change))
+        return document;
+    return RevisedDocument{.state = applyDocumentChange(std::move(document.state), change),
+                           .revision = index};
+}
+
 bool isNoOp(DocumentState const &state, DocumentChange const &change)
 {
     if (auto const *const replace = std::get_if<ReplaceDocument>(&change))
--- a/Libraries/LibConfiguration/DocumentState.h
+++ b/Libraries/LibConfiguration/DocumentState.h
@@ -55,6 +55,21 @@
 // A document whose version is not higher than the current one changes nothing, whatever its text.
 DocumentState applyDocumentChange(DocumentState state, DocumentChange const &change);
 
+// A state with the index of the last log entry that changed it, or of a snapshot after that entry. Of two
+// such values of one log, the one with the higher revision is at least as new; equal revisions have equal
+// states. This also holds for changes that cancel out.
+struct RevisedDocument
+{
+    DocumentState state;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(RevisedDocument const &, RevisedDocument const &) = default;
+};
+
+// An entry that changes nothing leaves the revision as it is.
+RevisedDocument applyDocumentEntry(RevisedDocument document, std::uint64_t index,
+                                   DocumentChange const &change);
+
 // Whether a change would leave the state unchanged. It then needs no log entry and can be acknowledged once a
 // majority has confirmed that this state is current.
 bool isNoOp(DocumentState const &state, DocumentChange const &change);
--- a/Libraries/LibNode/DocumentLog.h
+++ b/Libraries/LibNode/DocumentLog.h
@@ -67,7 +67,7 @@
 
     DocumentLogHooks hooks;
     Cell<AppliedDocument> published;
-    DocumentState stateMachine; // Accessed only on the queue of the log.
+    RevisedDocument document; // Accessed only on the queue of the log.
     ReplicatedLog log;
 };
 
--- a/Tests/LibConfiguration/DocumentStateTest.cpp
+++ b/Tests/LibConfiguration/DocumentStateTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(equalVersionNeverReplacesTheText);
     CPPUNIT_TEST(domainsAreTakenOutAndBroughtBack);
     CPPUNIT_TEST(noOpChangesAreDetected);
+    CPPUNIT_TEST(revisionFollowsEveryChange);
     CPPUNIT_TEST_SUITE_END();
 
     void highestVersionWinsInAnyOrder()
@@ -56,6 +57,21 @@
         CPPUNIT_ASSERT(!state.domains.contains("dar-b"));
     }
 
+    // Guards against an entry that keeps a failure domain out of service: it got that state from one
+    // instance, and another one that applies the change and its withdrawal together has an older revision.
+    void revisionFollowsEveryChange()
+    {
+        RevisedDocument document;
+        document = applyDocumentEntry(std::move(document), 4, ReplaceDocument{5, "first"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, document.revision);
+        document = applyDocumentEntry(std::move(document), 6, ReplaceDocument{5, "second"});
+        document = applyDocumentEntry(std::move(document), 7, BringBackFailureDomain{"dar-a"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, document.revision);
+        document = applyDocumentEntry(std::move(document), 9, TakeOutFailureDomain{"dar-a"});
+        document = applyDocumentEntry(std::move(document), 12, BringBackFailureDomain{"dar-a"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, document.revision);
+    }
+
     void noOpChangesAreDetected()
     {
         DocumentState state = applyDocumentChange(DocumentState{}, ReplaceDocument{5, "first"});
