--- a/Services/almondwingd/Daemon.cpp
+++ b/Services/almondwingd/Daemon.cpp
@@ -138,6 +138,9 @@
     this->poller->start();
     this->runtime.runEvery(tickInterval, [this] { this->tick(); });
     this->sendBulkParts();
+    this->runtime.onFailedHandler([this](std::string const &message) {
+        this->log.report(Event::InputDropped, "an unexpected error ended a handler: " + message);
+    });
     this->runtime.onStopSignal([this] { this->beginStop(); });
     this->log.report(Event::ProcessStarted,
                      fmt::format("instance {} in failure domain {}, entry {}, http {}",
