review/3: Show resets of flows at a server that waits for the ack of its deregistration

Planned work only: a release beside a restart of the control machines in turn. The views have the server as gone while it still holds its flows.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -262,6 +262,21 @@
                 return
             await asyncio.sleep(0.2)
 
+    async def leave(self, linger_s):
+        """A planned shutdown: drains, serves for `drain_ms` and a little longer, deregisters and exits with the ack,
+        or some seconds later without one."""
+        await self.drain()
+        await asyncio.sleep(DRAIN_S + linger_s)
+        end = time.monotonic() + 3.0
+        self.deployment.record.add("leave", f"{self.name} deregisters, {len(self.flows)} flows open")
+        while time.monotonic() < end:
+            control = await self.call(f"/Instances.Deregister/i-{self.number:010x}",
+                                      json.dumps({"born": self.born}).encode())
+            if control:
+                self.deployment.record.add("leave", f"{self.name} has its ack from {control.name}")
+                break
+        self.end()
+
     def receive(self, data, sender):
         if len(data) < 8 + HEADER.size or not self.is_alive:
             return
@@ -397,6 +412,15 @@
                 return payload
         return None
 
+    async def wait_closed(self, seconds):
+        """Handles packets without a request in progress, until the flow ends or the time is over."""
+        end = time.monotonic() + seconds
+        while not self.is_closed and (left := end - time.monotonic()) > 0:
+            try:
+                self.take(await asyncio.wait_for(self.inbox.get(), left))
+            except asyncio.TimeoutError:
+                return
+
     async def open(self):
         start = time.monotonic()
         for copy, limit in enumerate((0.2, 0.6, 1.4)):
@@ -496,6 +520,11 @@
         return Server(self, f"server-{self.next_server}", zone, f"127.{self.prefix}.{index + 1}.{50 + self.next_server}",
                       service, first_control, cold_s=cold_s)
 
+    def holder_of(self, key):
+        """The living server at which the flow is open, if any."""
+        return next((server for server in self.servers
+                     if server.is_alive and key in server.flows and server.flows[key]["open"]), None)
+
     async def new_consumer(self, zone):
         self.next_consumer += 1
         consumer = Consumer(self, f"127.{self.prefix}.{self.zones.index(zone) + 101}.{self.next_consumer}", zone)
@@ -593,7 +622,9 @@
     code = 2
     try:
         deployment = Deployment(record, **options)
-        asyncio.run(asyncio.wait_for(scenario(deployment, is_disrupted), 110))
+        # The loop is left with its tasks: in Python 3.11 a task can lose its cancellation in asyncio.wait_for().
+        loop = asyncio.new_event_loop()
+        loop.run_until_complete(asyncio.wait_for(scenario(deployment, is_disrupted), 110))
         code = 1 if record.broken else 0
     except Exception as error:  # The case couldn't run, whatever the reason.
         record.add("error", repr(error))
