LibNode: Ignore relayed heartbeats that were meant for a former process

Cause: the restarted instance loads a stored registry that is up to 500 ms old and has the targets as ready. A peer that has not noticed the restart sends heartbeats as number, start and sequence, for records that the former process had confirmed. The outdated record got the sequence of the drain, and the full record that followed was dropped as known.

Ruled out: the stored copy alone; without the heartbeat the full exchange corrects it.

An exchange now names the process of the receiver that confirmed the records, and another process ignores the heartbeats. The record can therefore never have a version whose contents it lacks, whatever a process has loaded. An exchange of an earlier version has no such field and is taken as before, so that a rolling update keeps all heartbeats.

--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -345,12 +345,14 @@
     Json reachablePeers = Json::array();
     for (Endpoint const peer : exchange.reachablePeers)
         reachablePeers.push_back(peer.toString());
-    Json const json{{"from", exchange.from.toString()},
-                    {"failure_domain", exchange.failureDomain},
-                    {"boot", exchange.bootId},
-                    {"peers", toJson(exchange.peers)},
-                    {"hears", std::move(reachablePeers)},
-                    {"flows", toJson(exchange.flows)}};
+    Json json{{"from", exchange.from.toString()},
+              {"failure_domain", exchange.failureDomain},
+              {"boot", exchange.bootId},
+              {"peers", toJson(exchange.peers)},
+              {"hears", std::move(reachablePeers)},
+              {"flows", toJson(exchange.flows)}};
+    if (exchange.receiverBootId)
+        json["receiver_boot"] = *exchange.receiverBootId;
     return withMember(withMember(json.dump(), "targets", targetListText(exchange.targets, now)), "heard",
                       heartbeatListText(exchange.heartbeats, now));
 }
@@ -374,6 +376,8 @@
 std::string formatRegistryExchangeReply(RegistryExchangeReply const &reply)
 {
     return Json{{"boot", reply.bootId}}.dump();
+        if (json.contains("receiver_boot"))
+            exchange.receiverBootId = json.at("receiver_boot").get<std::uint64_t>();
 }
 
 absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text)
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -99,6 +99,9 @@
     std::vector<RegisteredTarget> targets;
     // Heartbeats without a change; only number, reportVersion and lastSeenAt are set.
     std::vector<RegisteredTarget> heartbeats;
+    // The receiving process that has confirmed the records to which the heartbeats refer. Absent in messages
+    // of earlier versions.
+    std::optional<std::uint64_t> receiverBootId;
     std::vector<GroupLoad> flows; // Flows of the entries that report to the sender; without slots.
 
     friend bool operator==(RegistryExchange const &, RegistryExchange const &) = default;
--- a/Libraries/LibNode/RegistrySync.cpp
+++ b/Libraries/LibNode/RegistrySync.cpp
@@ -52,7 +52,8 @@
 {
     RegistryExchange exchange{.from = this->settings.self,
                               .failureDomain = this->settings.failureDomain,
-                              .bootId = this->settings.bootId};
+                              .bootId = this->settings.bootId,
+                              .receiverBootId = link.bootId};
     exchange.targets = std::move(changes.targets);
     for (auto const &[endpoint, peer] : this->directory.peers()) {
         exchange.peers.push_back(peer);
@@ -154,8 +155,13 @@
         std::scoped_lock const lock(link->mutex);
         link->reachablePeers = exchange.reachablePeers;
     }
-    for (RegisteredTarget const &target : exchange.heartbeats)
-        this->registry.mergeHeartbeat(target, now, exchange.from);
+    // A heartbeat has only the version of a record. If it referred to a record that a former process had
+    // confirmed, an outdated record that this process has loaded from its disk would get that version, and
+    // the record that the peer sends next would be ignored as known.
+    if (exchange.receiverBootId.value_or(this->settings.bootId) == this->settings.bootId) {
+        for (RegisteredTarget const &target : exchange.heartbeats)
+            this->registry.mergeHeartbeat(target, now, exchange.from);
+    }
     if (!exchange.flows.empty()) {
         GroupFlows flows;
         for (GroupLoad const &load : exchange.flows)
