LibTokenRouting: Keep the flows of a target that has deregistered

Cause: a deregistration was published as the end of the target at once, and entries reset each flow of an ended target. The acknowledgement comes up to 700 ms later, or not at all, and until then the target serves its flows.

Ruled out: to publish the end with the acknowledgement, as it may be lost on its way to the target.

A target that is Gone keeps its flows until a direct check is refused or gets no answer, as with a target that has failed, or until another target starts at its endpoint; only the latter proves the end by itself. Neither a lost acknowledgement nor a restart of a control instance makes a difference then.

flowsOfEndedTargetAreReset asserted the fault: it reset the flows of every target that is Gone. It now has the target that started later at the endpoint and asserts the same reset; deregisteredTargetKeepsItsFlowsUntilItsExit asserts what holds without one, with the resets after the exit.

EventReportTest::resetIsReportedWithReason waited for a reset with the reason target-ended after a deregistration. It now requires target-unreachable there and target-ended after a later start at the endpoint.

--- a/Libraries/LibRegistry/RegisteredTarget.h
+++ b/Libraries/LibRegistry/RegisteredTarget.h
@@ -25,7 +25,9 @@
 enum class RegisteredState : std::uint8_t {
     Ready = 0,
     Draining = 1, // Keeps its flows and gets no new ones.
-    Gone = 2, // Has certainly ended. Final until the target starts again.
+    // Has deregistered, or another target has started later at its endpoint. A target that has deregistered
+    // still serves its flows until it receives the acknowledgement. Final until the target starts again.
+    Gone = 2,
 };
 
 // Orders the reports about one target: by the start of the target, then by the sequence number.
--- a/Libraries/LibTokenRouting/ServingView.cpp
+++ b/Libraries/LibTokenRouting/ServingView.cpp
@@ -7,6 +7,29 @@
 
 namespace almondwing {
 
+namespace {
+
+// Marks the targets that are Gone and whose endpoint belongs to a target that started later.
+void markEnded(std::vector<ViewTarget> &targets)
+{
+    absl::flat_hash_map<Endpoint, std::int64_t> latestStarts; // Only at endpoints of targets that are Gone.
+    for (ViewTarget const &target : targets) {
+        if (target.target.state == RegisteredState::Gone)
+            latestStarts.emplace(target.target.endpoint, 0);
+    }
+    if (latestStarts.empty())
+        return;
+    for (ViewTarget const &target : targets) {
+        if (auto const latest = latestStarts.find(target.target.endpoint); latest != latestStarts.end())
+            latest->second = std::max(latest->second, target.target.reportVersion.startUnixMilliseconds);
+    }
+    for (ViewTarget &target : targets)
+        target.hasEnded = target.target.state == RegisteredState::Gone
+            && latestStarts.at(target.target.endpoint) > target.target.reportVersion.startUnixMilliseconds;
+}
+
+} // namespace
+
 std::string_view nameOf(ResetReason reason)
 {
     switch (reason) {
@@ -47,7 +70,8 @@
 
 bool ServingView::hasStoppedHeartbeats(ViewTarget const &target) const
 {
-    return target.isOverdue && this->overdueTargets * 2 < this->liveTargets;
+    return target.target.state == RegisteredState::Gone
+        || (target.isOverdue && this->overdueTargets * 2 < this->liveTargets);
 }
 
 ServingView makeServingView(FlowConfiguration const &configuration, std::vector<ViewTarget> targets,
@@ -58,6 +82,7 @@
                      .idleTimeout = configuration.idleTimeout};
     for (FlowRoute const &route : configuration.routes)
         view.routes.emplace(route.endpoint, route);
+    markEnded(targets);
     // A target whose token is used by a target that started earlier gets no flows.
     std::ranges::sort(targets, {}, [](ViewTarget const &target) {
         return std::pair(target.target.reportVersion.startUnixMilliseconds, target.target.number);
--- a/Libraries/LibTokenRouting/ServingView.h
+++ b/Libraries/LibTokenRouting/ServingView.h
@@ -21,6 +21,9 @@
     RegisteredTarget target;
     TargetToken token;
     bool isOverdue = false; // No heartbeat has arrived within the expected time.
+    // The target is Gone and another one has started later at its endpoint. Until then, a target that is Gone
+    // may still serve its flows. Set by makeServingView().
+    bool hasEnded = false;
 
     friend bool operator==(ViewTarget const &, ViewTarget const &) = default;
 };
@@ -41,8 +44,9 @@
     bool hasConfiguration() const { return this->configurationVersion != 0; }
     FlowRoute const *routeTo(Endpoint endpoint) const;
     ViewTarget const *targetOf(TargetToken token) const;
-    // Whether the target has failed according to its missing heartbeats. If half of all live targets or more
-    // are overdue, the control instances are the more likely cause, and missing heartbeats are ignored.
+    // Whether the target has deregistered or, according to its missing heartbeats, has failed. If half of all
+    // live targets or more are overdue, the control instances are the more likely cause, and missing
+    // heartbeats are ignored.
     bool hasStoppedHeartbeats(ViewTarget const &target) const;
 
     friend bool operator==(ServingView const &, ServingView const &) = default;
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -61,12 +61,12 @@
         // If two targets answered the same flow, both would get its data. A retransmission is therefore sent
         // to another target only if the first one has ended or gives no answer.
         ViewTarget const *const first = view.targetOf(known->value.target);
-        bool const isGone = first == nullptr || first->target.state == RegisteredState::Gone;
+        bool const hasEnded = first == nullptr || first->hasEnded;
         bool const isSilent = evaluateRepeatedOpen(this->board, known->value, this->healthSettings, now)
             == HealthVerdict::Suspect;
-        if (!isGone && !isSilent)
+        if (!hasEnded && !isSilent)
             return forwardTo(*first);
-        if (isSilent && !isGone)
+        if (isSilent && !hasEnded)
             this->markSuspectAndCheck(*first, packet.flow, now);
         excluded = known->value.target;
     }
@@ -88,12 +88,12 @@
     ViewTarget const *const target = view.targetOf(packet.token);
     if (target == nullptr)
         return HoldPacket{};
-    bool const isGone = target->target.state == RegisteredState::Gone;
     if (packet.kind == PacketKind::Close) {
         this->board.flows.remove(packet.flow);
-        return isGone ? PacketDecision(DropPacket{.reason = DropReason::UnknownFlow}) : forwardTo(*target);
+        return target->hasEnded ? PacketDecision(DropPacket{.reason = DropReason::UnknownFlow})
+                                : forwardTo(*target);
     }
-    if (isGone)
+    if (target->hasEnded)
         return ResetFlow{ResetReason::TargetEnded};
     PacketObservation const observation = observeDataPacket(this->board, packet, this->healthSettings, now);
     if (observation.establishedAfter)
--- a/Tests/LibNode/EntryFixture.h
+++ b/Tests/LibNode/EntryFixture.h
@@ -10,8 +10,8 @@
 
 namespace almondwing {
 
-// Decodes "open|data|foreign port token [copy]" as a packet to 198.18.0.1, and "elsewhere port token [copy]"
-// as one to an address without a route.
+// Decodes "open|data|foreign port token [copy [length]]" as a packet to 198.18.0.1, and "elsewhere ..." as
+// one to an address without a route.
 inline std::optional<FlowPacket> decodeTestPacket(std::string_view text)
 {
     std::istringstream words{std::string(text)};
@@ -21,7 +21,8 @@
     if (!(words >> kind >> port >> token))
         return std::nullopt;
     std::uint32_t copy = 0;
-    words >> copy;
+    std::uint16_t length = 0;
+    words >> copy >> length;
     std::uint32_t const service = kind == "elsewhere" ? 0xc6120009 : 0xc6120001;
     return FlowPacket{.flow = ConnectionKey{.caller = Endpoint{.address = 0x7f000001, .port = port},
                                             .service = Endpoint{.address = service, .port = 443}},
@@ -29,7 +30,8 @@
                           : kind == "foreign" ? PacketKind::NotFromCaller
                                               : PacketKind::Open,
                       .token = TargetToken{token},
-                      .acknowledgement = copy};
+                      .acknowledgement = copy,
+                      .length = length};
 }
 
 inline PacketAdapter testPacketAdapter()
--- a/Tests/LibNode/EventReportTest.cpp
+++ b/Tests/LibNode/EventReportTest.cpp
@@ -77,14 +77,24 @@
         EntryNode const &entry = entryFixture.startEntry(packets, freeEndpoint());
         entryFixture.send(packets, "elsewhere 12 0");
         requireFields(firstOf(events, Event::FlowReset, "reason=no-route"), withFlow({"reason"}));
+        // The target does not listen for direct checks, so it counts as exited once it has deregistered.
         entryFixture.nodeFixture.callUntilSuccess("/leave", "7");
-        NodeFixture::waitUntil("the entry has the end of the target", [&] {
-            entryFixture.send(packets, fmt::format("data 13 {}", tokenOf(TargetNumber{7}).value));
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-            return events.count(Event::FlowReset, "reason=target-ended") > 0;
-        });
+        auto const requireReset = [&](std::string const &reason) {
+            NodeFixture::waitUntil(reason.c_str(), [&] {
+                entryFixture.send(packets, fmt::format("data 13 {} 0 100", tokenOf(TargetNumber{7}).value));
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                return events.count(Event::FlowReset, reason) > 0;
+            });
+            requireFields(firstOf(events, Event::FlowReset, reason), withFlow({"reason"}));
+        };
+        requireReset("reason=target-unreachable");
         entryFixture.send(packets, "open 14 0");
         requireFields(firstOf(events, Event::FlowReset, "reason=no-target"), withFlow({"reason"}));
+        RegisteredTarget successor = reportedTarget(8, 1, RegisteredState::Ready);
+        successor.endpoint = entryFixture.testSocket->localEndpoint();
+        successor.reportVersion.startUnixMilliseconds = 200;
+        entryFixture.nodeFixture.callUntilSuccess("/heartbeat", heartbeatOf(successor));
+        requireReset("reason=target-ended");
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowReset, "reason=no-route"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.count(Event::FlowReset, "reason=no-target"));
         CPPUNIT_ASSERT_EQUAL(events.count(Event::FlowReset),
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(openWaitsWhileTheRegistryIsIncomplete);
     CPPUNIT_TEST(drainingTargetKeepsItsFlowsAndGetsNoNewOnes);
     CPPUNIT_TEST(flowsOfEndedTargetAreReset);
+    CPPUNIT_TEST(deregisteredTargetKeepsItsFlowsUntilItsExit);
+    CPPUNIT_TEST(retransmittedOpenStaysWithDeregisteredTarget);
     CPPUNIT_TEST(takenOutDomainGetsNoNewFlows);
     CPPUNIT_TEST(foreignPacketIsDropped);
     CPPUNIT_TEST(establishedFlowIsReportedOnce);
@@ -157,13 +159,67 @@
     }
 
     void flowsOfEndedTargetAreReset()
+    static RegisteredTarget goneTarget(std::uint64_t number, char const *domain)
     {
-        RegisteredTarget ended = testTarget(1, "dar-a");
-        ended.state = RegisteredState::Gone;
-        this->fixture.setTargets({ended, testTarget(2, "dar-a")});
+        RegisteredTarget target = testTarget(number, domain);
+        target.state = RegisteredState::Gone;
+        return target;
+    }
+
+    // A target that has started later has the endpoint, so the former one has certainly ended.
+    {
+        RegisteredTarget const ended = goneTarget(1, "dar-a");
+        RegisteredTarget successor = testTarget(2, "dar-a");
+        successor.endpoint = ended.endpoint;
+        successor.reportVersion.startUnixMilliseconds = ended.reportVersion.startUnixMilliseconds + 1;
+        this->fixture.setTargets({ended, successor});
         CPPUNIT_ASSERT(this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1001, 1))
                        == PacketDecision(ResetFlow{ResetReason::TargetEnded}));
     }
+        CPPUNIT_ASSERT(this->fixture.checked.empty());
+    }
+
+    // Guards against resets of flows at a target that still serves them while it waits for the
+    // acknowledgement of its deregistration. A refused or unanswered check shows that it has exited.
+    void deregisteredTargetKeepsItsFlowsUntilItsExit()
+    {
+        for (CheckResult const afterExit : {CheckResult::Refused, CheckResult::NoAnswer}) {
+            TokenFixture serving;
+            serving.setTargets({testTarget(1, "dar-a"), testTarget(2, "dar-a")});
+            TargetToken const token = tokenOf(TargetNumber{1});
+            for (std::uint16_t port = 1; port <= 2; ++port) {
+                serving.decide(dataPacket(port, token, 1001, 1));
+                serving.decide(dataPacket(port, token, 1101, 300)); // Acknowledges an answer.
+            }
+            serving.now += PassiveHealthSettings{}.aliveWindow + 1ms;
+            serving.setTargets({goneTarget(1, "dar-a"), testTarget(2, "dar-a")});
+            CPPUNIT_ASSERT(is<ForwardPacket>(serving.decide(dataPacket(1, token, 1201, 300))));
+            CPPUNIT_ASSERT(serving.checked == std::vector{TargetNumber{1}});
+            CPPUNIT_ASSERT(
+                serving.router.recordCheckResult(token, CheckResult::Accepted, serving.now).empty());
+            serving.now += 50ms;
+            CPPUNIT_ASSERT(is<ForwardPacket>(serving.decide(dataPacket(2, token, 1201, 300))));
+            FlowPacket close = dataPacket(3, token, 1001, 1);
+            close.kind = PacketKind::Close;
+            CPPUNIT_ASSERT(is<ForwardPacket>(serving.decide(close)));
+            CPPUNIT_ASSERT(serving.targetOf(serving.decide(openPacket(4))) == TargetNumber{2});
+
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                                 serving.router.recordCheckResult(token, afterExit, serving.now).size());
+            CPPUNIT_ASSERT(serving.decide(dataPacket(2, token, 1301, 300))
+                           == PacketDecision(ResetFlow{ResetReason::TargetUnreachable}));
+        }
+    }
+
+    // Guards against two targets that answer the same flow, because the first one has deregistered between
+    // two transmissions of the opening packet.
+    void retransmittedOpenStaysWithDeregisteredTarget()
+    {
+        this->fixture.setTargets({testTarget(1, "dar-a")});
+        PacketDecision const first = this->fixture.decide(openPacket(1));
+        this->fixture.setTargets({goneTarget(1, "dar-a"), testTarget(2, "dar-a")});
+        this->fixture.now += 100ms;
+        CPPUNIT_ASSERT(this->fixture.decide(openPacket(1, 1)) == first);
 
     void takenOutDomainGetsNoNewFlows()
     {
