LibCore: Refuse JSON texts that nest too deeply to be copied or serialized

Cause: nlohmann::json parses any depth, but serializes and copies values recursively. The parser of the configuration wrote the refused value into its error message, which exhausted the stack.

Ruled out: the codec of the replicated log, which reads by reference, and the manifest of almondwingd, which has a limit of its own; its count of the depth is in LibCore now.

--- a/Libraries/LibManifest/JsonReader.cpp
+++ b/Libraries/LibManifest/JsonReader.cpp
@@ -2,6 +2,8 @@
 
 #include <LibManifest/JsonReader.h>
 
+#include <LibCore/JsonNesting.h>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -28,26 +30,6 @@
 // square of the depth.
 constexpr std::size_t maxNestingDepth = 32;
 
-// Returns the maximum nesting depth of lists and objects if the text is JSON, otherwise an estimate.
-std::size_t nestingDepth(std::string_view text)
-{
-    std::size_t depth = 0;
-    std::size_t maxDepth = 0;
-    bool isInString = false;
-    for (std::size_t position = 0; position < text.size(); ++position) {
-        char const character = text[position];
-        if (character == '"')
-            isInString = !isInString;
-        else if (isInString && character == '\\')
-            ++position;
-        else if (!isInString && (character == '[' || character == '{'))
-            maxDepth = std::max(maxDepth, ++depth);
-        else if (!isInString && (character == ']' || character == '}') && depth > 0)
-            --depth;
-    }
-    return maxDepth;
-}
-
 // Finds keys that occur twice in an object. The JSON library silently keeps only the last of them, so that a
 // change by an operator could be lost.
 class DuplicateKeyFinder
@@ -252,7 +234,7 @@
 
 JsonDocument::JsonDocument(std::string const &text) : errorList(std::make_unique<InputErrors>())
 {
-    if (nestingDepth(text) > maxNestingDepth) {
+    if (jsonNestingDepth(text) > maxNestingDepth) {
         addError(
             *this->errorList,
             {.path = "",
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -3,6 +3,9 @@
 
 #include <LibNode/NodeWire.h>
 
+#include <LibCore/JsonNesting.h>
+#include <LibCore/Try.h>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -245,6 +248,7 @@
     try {
         return decode(Json::parse(text));
     } catch (std::exception const &error) {
+    TRY_STATUS(checkJsonNesting(text));
         return absl::InvalidArgumentError(error.what());
     }
 }
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(invalidFieldsAreRejected);
     CPPUNIT_TEST(longDurationsAreAccepted);
     CPPUNIT_TEST_SUITE_END();
+    CPPUNIT_TEST(deeplyNestedMessagesAreRejected);
 
     void agesAreIndependentOfClocks()
     {
@@ -165,6 +166,21 @@
     }
 };
 
+    // Guards against a message that exhausts the stack of its receiver, because a nested value is copied.
+    void deeplyNestedMessagesAreRejected()
+    {
+        constexpr std::size_t depth = 100'000;
+        std::string const lists = std::string(depth, '[') + std::string(depth, ']');
+        std::string text = formatViewReply(sampleReply(), senderNow);
+        text.back() = ',';
+        for (char const *member : {"controls", "overdue", "unknown"}) {
+            std::string const nested = text + "\"" + member + "\":" + lists + "}";
+            CPPUNIT_ASSERT_MESSAGE(member, !parseViewReply(nested, senderNow).ok());
+        }
+        CPPUNIT_ASSERT(!parseTargets(lists, senderNow).ok());
+        CPPUNIT_ASSERT(!parseRegistryExchange("{\"from\":" + lists + "}", senderNow).ok());
+    }
+
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeWireTest);
 
 } // namespace almondwing
