LibRegistry: Let reports for undefined services end no target

Cause: the registry took every report with a later start at an endpoint as proof that the former target there had ended, in the control instances and again in each entry.

Ruled out: to refuse such reports, as targets start before the configuration that defines their service, and drain after one that drops it.

The registry asks a hook whether the configuration in force defines the service. A report for another service is stored and takes over neither an endpoint nor the number of a target of a defined service. A target takes over its endpoint with its first heartbeat after its service is defined. Entries get the names of the services with the configuration. Related paths: a drain that the registry has ignored is no longer written to the disk as an end, and targets of undefined services no longer count when an entry decides whether missing heartbeats are evidence.

Left: a report of another writer that names a defined service can't be told from that of a target.

--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -77,7 +77,10 @@
                              EventReporter eventReporter)
     : runtime(ioRuntime), settings(std::move(nodeSettings)), adapter(std::move(controlAdapter)),
       report(std::move(eventReporter)), bootId(randomNumber()),
-      registry(RegistrySettings{.heartbeatInterval = settings.heartbeatInterval})
+      registry(RegistrySettings{.heartbeatInterval = settings.heartbeatInterval},
+               TargetRegistryHooks{.isServiceDefined = [this](std::string const &service) {
+                   return this->log->applied()->view.configuration.services.contains(service);
+               }})
 {
     DocumentLogHooks hooks{
         .send = [this](ReplicaEnvelope const &envelope) { this->sendReplication(envelope); },
--- a/Libraries/LibNode/ControlServerAnswers.cpp
+++ b/Libraries/LibNode/ControlServerAnswers.cpp
@@ -24,7 +24,6 @@
     RegisteredTarget target = call.target;
     target.lastSeenAt = now;
     target.coldUntil = now + call.coldFor;
-    auto const before = this->registry.find(target.number);
     bool const hasChanged = this->registry.merge(target, now) == MergeOutcome::Changed;
     if (hasChanged) {
         this->report(
@@ -37,8 +36,10 @@
         this->viewServer->answerDue(now);
     }
     // A drain, also a repeated one, is acknowledged only when more than half of the control instances have
-    // it. A plain heartbeat is acknowledged at once.
-    if (target.state != RegisteredState::Ready) {
+    // it. A plain heartbeat is acknowledged at once, and so is a drain that the registry has ignored, because
+    // it must not be stored.
+    auto const known = this->registry.find(target.number);
+    if (target.state != RegisteredState::Ready && known && known->state != RegisteredState::Ready) {
         this->answerEnd(target, "draining", respond);
         return;
     }
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -224,6 +224,7 @@
     return {{"revision", view.revision},
             {"version", view.configuration.version},
             {"routes", std::move(routes)},
+            {"services", view.configuration.services},
             {"idle_ms", toMilliseconds(view.configuration.idleTimeout)},
             {"cold_ms", toMilliseconds(view.configuration.coldPhase)},
             {"taken_out", view.domainsTakenOut}};
@@ -236,6 +237,8 @@
     view.configuration.version = json.at("version").get<std::uint64_t>();
     for (Json const &route : json.at("routes"))
         view.configuration.routes.push_back(decodeRoute(route));
+    if (json.contains("services")) // Absent in messages of earlier versions.
+        view.configuration.services = json.at("services").get<std::set<std::string>>();
     view.configuration.idleTimeout = fromMilliseconds(json.at("idle_ms").get<std::int64_t>());
     view.configuration.coldPhase = fromMilliseconds(json.at("cold_ms").get<std::int64_t>());
     return view;
@@ -245,10 +248,10 @@
 template<typename Decode>
 auto parseJson(std::string_view text, Decode const &decode) -> absl::StatusOr<decltype(decode(Json()))>
 {
+    TRY_STATUS(checkJsonNesting(text));
     try {
         return decode(Json::parse(text));
     } catch (std::exception const &error) {
-    TRY_STATUS(checkJsonNesting(text));
         return absl::InvalidArgumentError(error.what());
     }
 }
@@ -373,6 +376,8 @@
                                   .flows = decodeLoads(json.at("flows"))};
         for (Json const &peer : json.at("hears"))
             exchange.reachablePeers.push_back(decodeEndpoint(peer));
+        if (json.contains("receiver_boot"))
+            exchange.receiverBootId = json.at("receiver_boot").get<std::uint64_t>();
         return exchange;
     });
 }
@@ -380,8 +385,6 @@
 std::string formatRegistryExchangeReply(RegistryExchangeReply const &reply)
 {
     return Json{{"boot", reply.bootId}}.dump();
-        if (json.contains("receiver_boot"))
-            exchange.receiverBootId = json.at("receiver_boot").get<std::uint64_t>();
 }
 
 absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text)
--- a/Libraries/LibNode/ViewClient.cpp
+++ b/Libraries/LibNode/ViewClient.cpp
@@ -42,7 +42,13 @@
     : runtime(ioRuntime), instance(nodeSettings.instance), failureDomain(nodeSettings.failureDomain),
       blackboard(tokenBlackboard), hooks(std::move(clientHooks)),
       registry(RegistrySettings{.heartbeatInterval = nodeSettings.heartbeatInterval,
-                                .retention = registryRetention}),
+                                .retention = registryRetention},
+               TargetRegistryHooks{.isServiceDefined =
+                                       [this](std::string const &service) {
+                                           return this->configuration
+                                               && this->configuration->configuration.services.contains(
+                                                   service);
+                                       }}),
       queue(ioRuntime)
 {
     this->addSeeds(nodeSettings.seeds);
@@ -176,15 +182,16 @@
     for (ControlPeer const &peer : reply.controlInstances)
         this->directory.addPeer(peer.endpoint, peer.failureDomain);
     bool isChanged = false;
-    for (RegisteredTarget const &target : reply.targets)
-        isChanged |= this->registry.merge(target, now) == MergeOutcome::Changed;
-    std::set<TargetNumber> const newOverdue(reply.overdue.begin(), reply.overdue.end());
-    isChanged |= std::exchange(this->overdue, newOverdue) != newOverdue;
+    // The registry uses the configuration, so the configuration comes first.
     std::uint64_t const knownRevision = this->configuration ? this->configuration->revision : 0;
     if (reply.configuration && reply.configuration->revision > knownRevision) {
         this->configuration = reply.configuration;
         isChanged = true;
     }
+    for (RegisteredTarget const &target : reply.targets)
+        isChanged |= this->registry.merge(target, now) == MergeOutcome::Changed;
+    std::set<TargetNumber> const newOverdue(reply.overdue.begin(), reply.overdue.end());
+    isChanged |= std::exchange(this->overdue, newOverdue) != newOverdue;
     ViewFreshness const before = this->freshness();
     this->currentFreshness.update([&](ViewFreshness freshness) {
         if (reply.isInContact)
--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -35,11 +35,11 @@
     if (report.state == RegisteredState::Gone)
         return this->markGone(report.number, report.reportVersion.startUnixMilliseconds, now);
     // The report is delayed, and another target has taken over the endpoint since.
-    if (this->isSuperseded(report))
+    if (this->isSuperseded(report) || this->isForeignReport(report))
         return MergeOutcome::Unchanged;
     MergeOutcome const outcome = this->store(report, now, reporter);
-    if (outcome == MergeOutcome::Changed)
-        this->markPredecessorGone(report, now);
+    if (outcome != MergeOutcome::Unchanged)
+        this->takeOverEndpoint(report, now);
     return outcome;
 }
 
@@ -118,16 +118,19 @@
     });
 }
 
-// An endpoint belongs to one target at a time, so a target that started there earlier has ended.
-void TargetRegistry::markPredecessorGone(RegisteredTarget const &report, Timestamp now)
+// An endpoint belongs to one target at a time, so a target that started there earlier has ended. A target
+// whose service becomes defined takes over its endpoint with its next heartbeat.
+void TargetRegistry::takeOverEndpoint(RegisteredTarget const &report, Timestamp now)
 {
+    if (!this->hooks.isServiceDefined(report.service))
+        return;
     EndpointOwner const next{.number = report.number,
                              .startUnixMilliseconds = report.reportVersion.startUnixMilliseconds};
     auto const before = this->endpointOwners.read(report.endpoint);
-    if (before && before->value.startUnixMilliseconds > next.startUnixMilliseconds)
+    if (before && (before->value == next || before->value.startUnixMilliseconds > next.startUnixMilliseconds))
         return;
     // A conflict means that another report for the endpoint was merged concurrently. This report then marks
-    // no target as Gone; a later one does so only if it is merged as Changed.
+    // no target as Gone; the next heartbeat does so.
     if (this->endpointOwners.write(report.endpoint, next, before ? before->version : 0)
         == WriteOutcome::Conflict)
         return;
@@ -144,6 +147,15 @@
     });
 }
 
+// Whether the report has the number of a target of a defined service, but names an undefined one.
+bool TargetRegistry::isForeignReport(RegisteredTarget const &report) const
+{
+    if (this->hooks.isServiceDefined(report.service))
+        return false;
+    auto const known = this->find(report.number);
+    return known && known->service != report.service && this->hooks.isServiceDefined(known->service);
+}
+
 void TargetRegistry::markCold(std::string const &failureDomain, Timestamp until)
 {
     for (RegisteredTarget const &target : this->all()) {
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace almondwing {
@@ -50,7 +51,7 @@
     friend bool operator==(RegistryEntry const &, RegistryEntry const &) = default;
 };
 
-// The target with the latest start among those reported at an endpoint.
+// The target with the latest start among those reported at an endpoint for a defined service.
 struct EndpointOwner
 {
     TargetNumber number;
@@ -69,10 +70,23 @@
     friend bool operator==(RegistryChanges const &, RegistryChanges const &) = default;
 };
 
+struct TargetRegistryHooks
+{
+    // Whether the configuration in force defines the service. Reports for other services are stored, because
+    // a later configuration may define them, but they never end or replace a target of a defined service:
+    // they may come from a writer that is not a target.
+    std::function<bool(std::string const &service)> isServiceDefined = [](std::string const &) {
+        return true;
+    };
+};
+
 class TargetRegistry
 {
 public:
-    explicit TargetRegistry(RegistrySettings registrySettings) : settings(registrySettings) { }
+    explicit TargetRegistry(RegistrySettings registrySettings, TargetRegistryHooks registryHooks = {})
+        : settings(registrySettings), hooks(std::move(registryHooks))
+    {
+    }
 
     // Merges a heartbeat or a record of another instance, if not outdated. State Gone acts like markGone().
     MergeOutcome merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter = {});
@@ -117,10 +131,12 @@
     // reader that has read a generation therefore finds every change up to it.
     MergeOutcome commitChange(std::function<MergeOutcome(std::uint64_t generation)> const &change);
     MergeOutcome store(RegisteredTarget const &report, Timestamp now, Endpoint reporter);
-    void markPredecessorGone(RegisteredTarget const &report, Timestamp now);
+    void takeOverEndpoint(RegisteredTarget const &report, Timestamp now);
     bool isSuperseded(RegisteredTarget const &report) const;
+    bool isForeignReport(RegisteredTarget const &report) const;
 
     RegistrySettings settings;
+    TargetRegistryHooks hooks;
     ShardedTable<TargetNumber, RegistryEntry, 16> entries;
     ShardedTable<Endpoint, EndpointOwner, 16> endpointOwners;
     std::mutex changeMutex; // Held while a change is made under a new generation.
--- a/Libraries/LibTokenRouting/FlowConfiguration.h
+++ b/Libraries/LibTokenRouting/FlowConfiguration.h
@@ -6,6 +6,7 @@
 #include <LibCore/Time.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,7 @@
 {
     std::uint64_t version = 0; // 0 if no configuration has been accepted yet.
     std::vector<FlowRoute> routes; // At most one route per endpoint.
+    std::set<std::string> services; // All services that are defined, also those without a route.
     Duration idleTimeout = 15s; // The state of a flow without packets for this long may be dropped.
     Duration coldPhase = 2s; // The maximum time for which a target of any service is cold after its start.
 
--- a/Libraries/LibTokenRouting/ServingView.cpp
+++ b/Libraries/LibTokenRouting/ServingView.cpp
@@ -92,7 +92,8 @@
         if (!view.targets.emplace(target.token, target).second)
             continue;
         view.tokensOfService[target.target.service].push_back(target.token);
-        if (target.target.state == RegisteredState::Gone)
+        if (target.target.state == RegisteredState::Gone
+            || !configuration.services.contains(target.target.service))
             continue;
         ++view.liveTargets;
         if (target.isOverdue)
--- a/Libraries/LibTokenRouting/ServingView.h
+++ b/Libraries/LibTokenRouting/ServingView.h
@@ -38,7 +38,7 @@
     std::set<std::string> domainsTakenOut;
     Duration idleTimeout = 15s;
     bool isRegistryComplete = false; // Every living target has had time to be registered.
-    std::size_t liveTargets = 0; // The number of `targets` that have not ended.
+    std::size_t liveTargets = 0; // The number of `targets` of defined services that are not Gone.
     std::size_t overdueTargets = 0; // The number of live targets that are overdue.
 
     bool hasConfiguration() const { return this->configurationVersion != 0; }
--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(packetsReachTargetThroughNewEntry);
     CPPUNIT_TEST(stoppingEntryIsNotReadyButForwards);
     CPPUNIT_TEST(stoppingEntryStaysWhilePacketsArrive);
+    CPPUNIT_TEST(heartbeatForUndefinedServiceResetsNoFlow);
     CPPUNIT_TEST(undecodableDatagramsAreCounted);
     CPPUNIT_TEST(entryHasRevisionBeforeFirstConfiguration);
     CPPUNIT_TEST(formerSourceSendsOnlyChanges);
@@ -72,6 +73,30 @@
         CPPUNIT_ASSERT(isDrainOver(brief, start + 500ms));
     }
 
+    // Guards against resets of a living target's flows because of a heartbeat of another writer, which names
+    // the target's endpoint and a service that the configuration does not define.
+    void heartbeatForUndefinedServiceResetsNoFlow()
+    {
+        EntryFixture entryFixture;
+        Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
+        EntryNode const &entry = entryFixture.startEntry(packets, freeEndpoint());
+        RegisteredTarget foreign = reportedTarget(8, 1, RegisteredState::Ready);
+        foreign.service = "audit";
+        foreign.endpoint = entryFixture.testSocket->localEndpoint();
+        foreign.reportVersion.startUnixMilliseconds = 200;
+        entryFixture.nodeFixture.callUntilSuccess("/heartbeat", heartbeatOf(foreign));
+        auto const tokenText = [](std::uint64_t number) { return tokenOf(TargetNumber{number}).value; };
+        std::string const toForeign = fmt::format("data 1 {}", tokenText(8));
+        entryFixture.requireDelivered(packets, toForeign, fmt::format("8:{}:{}", tokenText(8), toForeign));
+
+        std::uint64_t const forwarded = entry.counters().forwarded;
+        entryFixture.send(packets, fmt::format("data 2 {}", tokenText(7)));
+        NodeFixture::waitUntil("the packet is handled", [&] {
+            return entry.counters().forwarded > forwarded || entry.counters().reset > 0;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, entry.counters().reset);
+    }
+
     void undecodableDatagramsAreCounted()
     {
         EntryFixture entryFixture;
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -89,6 +89,7 @@
         return endpoint.status();
     configuration.routes.push_back(
         FlowRoute{.endpoint = *endpoint, .services = {WeightedService{service, 1}}});
+    configuration.services = {service};
     return configuration;
 }
 
@@ -113,20 +114,29 @@
     return ChangeCall{ReplaceDocument{.version = configuration->version, .text = request.body}};
 }
 
+inline RegisteredTarget reportedTarget(std::uint64_t number, std::uint64_t sequence, RegisteredState state)
+{
+    Timestamp const now{1h};
+    return RegisteredTarget{.number = TargetNumber{number},
+                            .service = "orders",
+                            .failureDomain = "dar-a",
+                            .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
+                            .state = state,
+                            .reportVersion =
+                                ReportVersion{.startUnixMilliseconds = 100, .sequence = sequence},
+                            .lastSeenAt = now,
+                            .coldUntil = now};
+}
+
 // Returns the body of a target's heartbeat for the adapter of the tests.
+inline std::string heartbeatOf(RegisteredTarget const &target)
+{
+    return formatTargets({target}, Timestamp{1h});
+}
+
 inline std::string heartbeat(std::uint64_t number, std::uint64_t sequence, RegisteredState state)
 {
-    Timestamp const now{1h};
-    return formatTargets(
-        {RegisteredTarget{.number = TargetNumber{number},
-                          .service = "orders",
-                          .failureDomain = "dar-a",
-                          .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
-                          .state = state,
-                          .reportVersion = ReportVersion{.startUnixMilliseconds = 100, .sequence = sequence},
-                          .lastSeenAt = now,
-                          .coldUntil = now}},
-        now);
+    return heartbeatOf(reportedTarget(number, sequence, state));
 }
 
 // A control instance on threads of its own, so that it can stop while the others run.
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -46,7 +46,8 @@
                                            .routes = {FlowRoute{
                                                .endpoint = Endpoint{.address = 0xc6120001, .port = 443},
                                                .services = {WeightedService{"orders", 90},
-                                                            WeightedService{"prints", 10}}}}},
+                                                            WeightedService{"prints", 10}}}},
+                                           .services = {"orders", "prints", "reports"}},
         .domainsTakenOut = {"dar-c"}};
     return reply;
 }
@@ -63,8 +64,8 @@
     CPPUNIT_TEST(truncatedMessagesAreRejected);
     CPPUNIT_TEST(invalidFieldsAreRejected);
     CPPUNIT_TEST(longDurationsAreAccepted);
-    CPPUNIT_TEST_SUITE_END();
     CPPUNIT_TEST(deeplyNestedMessagesAreRejected);
+    CPPUNIT_TEST_SUITE_END();
 
     void agesAreIndependentOfClocks()
     {
@@ -164,7 +165,6 @@
         CPPUNIT_ASSERT(!parseTargets(R"([[1,"s","d","10.0.0.1:80",2,0,1,1,1e18,0]])", receiverNow).ok());
         CPPUNIT_ASSERT(parseTargets(R"([[1,"s","d","10.0.0.1:80",2,0,1,1,0,0]])", receiverNow).ok());
     }
-};
 
     // Guards against a message that exhausts the stack of its receiver, because a nested value is copied.
     void deeplyNestedMessagesAreRejected()
@@ -180,6 +180,7 @@
         CPPUNIT_ASSERT(!parseTargets(lists, senderNow).ok());
         CPPUNIT_ASSERT(!parseRegistryExchange("{\"from\":" + lists + "}", senderNow).ok());
     }
+};
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeWireTest);
 
--- a/Tests/LibNode/PropagationTest.cpp
+++ b/Tests/LibNode/PropagationTest.cpp
@@ -2,6 +2,8 @@
 
 #include "NodeFixture.h"
 
+#include <algorithm>
+
 namespace almondwing {
 
 namespace {
@@ -24,6 +26,7 @@
     CPPUNIT_TEST(drainIsRefusedWithoutMajority);
     CPPUNIT_TEST(repeatedDrainIsRefusedWithoutMajority);
     CPPUNIT_TEST(newProcessReceivesWholeRegistry);
+    CPPUNIT_TEST(heartbeatForUndefinedServiceEndsNoTarget);
     CPPUNIT_TEST(unchangedViewReplyIsEmpty);
     CPPUNIT_TEST(invalidInputIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -102,6 +105,34 @@
                                [&] { return stateAt(fixture, 2, 7) == RegisteredState::Ready; });
     }
 
+    // Guards against the end of a living target because of a heartbeat of another writer: it names a service
+    // that the configuration does not define, and the endpoint or the number of the living target.
+    void heartbeatForUndefinedServiceEndsNoTarget()
+    {
+        NodeFixture fixture(1);
+        fixture.callUntilSuccess("/replace", "3 198.18.0.1:443 orders");
+        fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+        RegisteredTarget foreign = reportedTarget(8, 1, RegisteredState::Ready);
+        foreign.service = "audit";
+        foreign.reportVersion.startUnixMilliseconds = 200;
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(foreign)).isSuccess());
+        CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Ready);
+
+        RegisteredTarget sameNumber = foreign;
+        sameNumber.number = TargetNumber{7};
+        sameNumber.endpoint.port = 8081;
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(sameNumber)).isSuccess());
+        auto const targets = viewAt(fixture, 0).targets;
+        auto const living = std::ranges::find(targets, TargetNumber{7}, &RegisteredTarget::number);
+        CPPUNIT_ASSERT(living->service == "orders" && living->endpoint.port == 8080);
+
+        // Once the configuration defines the service, the later start at the endpoint counts.
+        fixture.callUntilSuccess("/replace", "4 198.18.0.1:443 audit");
+        ++foreign.reportVersion.sequence;
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(foreign)).isSuccess());
+        CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Gone);
+    }
+
     void unchangedViewReplyIsEmpty()
     {
         NodeFixture fixture(1);
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(endOfEarlierRunIsIgnored);
     CPPUNIT_TEST(reusedEndpointEndsEarlierTarget);
     CPPUNIT_TEST(delayedReportAfterEndpointReuseIsIgnored);
+    CPPUNIT_TEST(undefinedServiceTakesOverNoEndpoint);
+    CPPUNIT_TEST(undefinedServiceTakesOverNoNumber);
     CPPUNIT_TEST(repeatedRecordIsNoHeartbeat);
     CPPUNIT_TEST(heartbeatIsNoRoutingChange);
     CPPUNIT_TEST(relayedHeartbeatNeedsKnownRun);
@@ -204,6 +206,43 @@
         CPPUNIT_ASSERT(!this->registry.find(TargetNumber{1}).has_value());
     }
 
+    // Guards against the end of a living target by a report for a service that the configuration does not
+    // define. Once it defines the service, the next heartbeat takes over the endpoint.
+    void undefinedServiceTakesOverNoEndpoint()
+    {
+        std::set<std::string> defined{"orders"};
+        TargetRegistry table(RegistrySettings{},
+                             TargetRegistryHooks{.isServiceDefined = [&defined](std::string const &name) {
+                                 return defined.contains(name);
+                             }});
+        table.merge(targetAt(1, 100, 5), start);
+        RegisteredTarget foreign = targetAt(2, 200, 1);
+        foreign.service = "audit";
+        foreign.endpoint = targetAt(1, 100, 5).endpoint;
+        CPPUNIT_ASSERT(table.merge(foreign, start) == MergeOutcome::Changed);
+        CPPUNIT_ASSERT(table.find(TargetNumber{1})->state == RegisteredState::Ready);
+        CPPUNIT_ASSERT(table.merge(targetAt(1, 100, 6), start) == MergeOutcome::Refreshed);
+
+        defined.insert("audit");
+        ++foreign.reportVersion.sequence;
+        CPPUNIT_ASSERT(table.merge(foreign, start) == MergeOutcome::Refreshed);
+        CPPUNIT_ASSERT(table.find(TargetNumber{1})->state == RegisteredState::Gone);
+        CPPUNIT_ASSERT(table.merge(targetAt(1, 100, 7), start) == MergeOutcome::Unchanged);
+    }
+
+    void undefinedServiceTakesOverNoNumber()
+    {
+        TargetRegistry table(RegistrySettings{},
+                             TargetRegistryHooks{.isServiceDefined = [](std::string const &name) {
+                                 return name == "orders";
+                             }});
+        table.merge(targetAt(1, 100, 5), start);
+        RegisteredTarget foreign = targetAt(1, 200, 1);
+        foreign.service = "audit";
+        CPPUNIT_ASSERT(table.merge(foreign, start) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(*table.find(TargetNumber{1}) == targetAt(1, 100, 5));
+    }
+
     // Guards against a record that instances send to each other and that appears more recent with each
     // transit.
     void repeatedRecordIsNoHeartbeat()
--- a/Tests/LibTokenRouting/TokenFixture.h
+++ b/Tests/LibTokenRouting/TokenFixture.h
@@ -32,7 +32,8 @@
 {
     return FlowConfiguration{
         .version = 1,
-        .routes = {FlowRoute{.endpoint = ordersAddress, .services = {WeightedService{"orders", 1}}}}};
+        .routes = {FlowRoute{.endpoint = ordersAddress, .services = {WeightedService{"orders", 1}}}},
+        .services = {"orders"}};
 }
 
 inline FlowPacket openPacket(std::uint16_t callerPort, std::uint32_t copy = 0)
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(silentCheckCountsWithoutHeartbeats);
     CPPUNIT_TEST(answeringTargetWithoutHeartbeatsIsNotChecked);
     CPPUNIT_TEST(missingHeartbeatsOfHalfTheTargetsAreIgnored);
+    CPPUNIT_TEST(targetsOfUndefinedServicesAreNoEvidence);
     CPPUNIT_TEST(retransmittedOpenChoosesSameService);
     CPPUNIT_TEST_SUITE_END();
 
@@ -158,7 +159,6 @@
             == TargetNumber{1});
     }
 
-    void flowsOfEndedTargetAreReset()
     static RegisteredTarget goneTarget(std::uint64_t number, char const *domain)
     {
         RegisteredTarget target = testTarget(number, domain);
@@ -167,6 +167,7 @@
     }
 
     // A target that has started later has the endpoint, so the former one has certainly ended.
+    void flowsOfEndedTargetAreReset()
     {
         RegisteredTarget const ended = goneTarget(1, "dar-a");
         RegisteredTarget successor = testTarget(2, "dar-a");
@@ -175,7 +176,6 @@
         this->fixture.setTargets({ended, successor});
         CPPUNIT_ASSERT(this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1001, 1))
                        == PacketDecision(ResetFlow{ResetReason::TargetEnded}));
-    }
         CPPUNIT_ASSERT(this->fixture.checked.empty());
     }
 
@@ -220,6 +220,7 @@
         this->fixture.setTargets({goneTarget(1, "dar-a"), testTarget(2, "dar-a")});
         this->fixture.now += 100ms;
         CPPUNIT_ASSERT(this->fixture.decide(openPacket(1, 1)) == first);
+    }
 
     void takenOutDomainGetsNoNewFlows()
     {
@@ -410,6 +411,17 @@
             this->fixture.router.recordCheckResult(token, CheckResult::NoAnswer, this->fixture.now).empty());
     }
 
+    // Guards against heartbeats of other writers, which come only once, that let all missing heartbeats be
+    // ignored.
+    void targetsOfUndefinedServicesAreNoEvidence()
+    {
+        this->fixture.setTargets({testTarget(1, "dar-a"), testTarget(2, "dar-a"), testTarget(3, "dar-a"),
+                                  testTarget(4, "dar-a", "audit"), testTarget(5, "dar-a", "audit")},
+                                 {}, true, {TargetNumber{1}, TargetNumber{4}, TargetNumber{5}});
+        this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1001, 1));
+        CPPUNIT_ASSERT(this->fixture.checked == std::vector{TargetNumber{1}});
+    }
+
     // Guards against a retransmitted opening packet that reaches another instance and chooses another service
     // there.
     void retransmittedOpenChoosesSameService()
