--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -140,6 +140,7 @@
                                             .reportVersion =
                                                 ReportVersion{.startUnixMilliseconds = 5, .sequence = 6},
                                             .lastSeenAt = senderNow - 700ms}},
+            .receiverBootId = 8,
             .flows = sampleReply().loads};
         auto const parsed = parseRegistryExchange(formatRegistryExchange(exchange, senderNow), senderNow);
         CPPUNIT_ASSERT(parsed.ok());
