LibReplication: Remove a silent voter only where that lowers the majority

Cause: a silent voter was removed as long as more than three remained, so six voters became four. Four voters tolerate the loss of one disk, and the disks of the removed voters no longer counted when their machines came back.

Ruled out: a setting for the number of disks that may be lost, as the number of voters says how many they tolerate.

Only one of an even number of voters is removed now. That lowers the majority and tolerates as many lost disks as before; one less of an odd number leaves the majority as it is and tolerates one disk less. Three control instances of six may still be lost one after the other, but then no fourth one.

--- a/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
+++ b/Libraries/LibReplication/ReplicationCoreBootstrap.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr std::size_t maxVoters = 7;
-// Silent voters are removed only while there are more voters than this. Three voters tolerate one loss.
-constexpr std::size_t minVoters = 3;
 constexpr LogIndex bootstrapIndex = 1;
 constexpr Term bootstrapTerm = 1;
 // Join intervals until a replaced disk no longer counts. Its replica asks to join once per interval.
@@ -246,9 +244,10 @@
         if (!this->isVoter(id) && isCaughtUp && this->proposeAdmission(Replica(progress.replica), now))
             return;
     }
-    // Removing a silent voter lowers the majority, so that more losses among the responding voters are
-    // tolerated.
-    if (this->log.voters().size() <= minVoters)
+    // Of an even number of voters, removing a silent one lowers the majority, so that more losses among the
+    // responding voters are tolerated. Of an odd number, the majority would stay the same, and fewer disks
+    // could be lost: the disk of the removed voter no longer counts when it returns.
+    if (this->log.voters().size() % 2 != 0)
         return;
     if (std::optional<Replica> const silent = this->silentVoter(now))
         this->removeVoter(*silent, now);
--- a/Libraries/LibReplication/ReplicationHooks.h
+++ b/Libraries/LibReplication/ReplicationHooks.h
@@ -40,8 +40,8 @@
     Duration minElectionTimeout = 3s;
     Duration maxElectionTimeout = 6s;
     Duration joinInterval = 1s;
-    // With VoterAdmission::AnyInstance, a voter that sent no reply for this long is removed if at least three
-    // others remain and one more than their majority responds. It may ask to join again.
+    // With VoterAdmission::AnyInstance, a voter that sent no reply for this long is removed if that lowers
+    // the majority and one more than the majority of the others responds. It may ask to join again.
     Duration voterRemovalTimeout = 3s;
 
     std::size_t maxPayloadBytes = 256UL * 1024;
--- a/Tests/LibReplication/AnyInstanceAdmissionTest.cpp
+++ b/Tests/LibReplication/AnyInstanceAdmissionTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(silentVoterOfThreeIsKept);
     CPPUNIT_TEST(allMachinesCanBeReplacedInTurn);
     CPPUNIT_TEST(silentVoterIsKeptWhileItMayBeNeeded);
+    CPPUNIT_TEST(removalsKeepTheNumberOfToleratedLosses);
     CPPUNIT_TEST_SUITE_END();
 
     void unlistedInstanceBecomesVoter()
@@ -101,6 +102,31 @@
         CPPUNIT_ASSERT(cluster.violations.empty());
     }
 
+    // Guards against a log that stops permanently although no more disks are lost than its voters tolerate:
+    // two of six voters are down for some seconds and are removed, and two of the other four, among them the
+    // leader, then lose their disks.
+    void removalsKeepTheNumberOfToleratedLosses()
+    {
+        ReplicationCluster cluster(6, 7, anyInstanceSettings());
+        std::size_t const leader = cluster.waitForLeader();
+        cluster.run(2s);
+        std::vector<std::size_t> others;
+        for (std::size_t index = 0; index < cluster.nodes.size(); ++index) {
+            if (index != leader)
+                others.push_back(index);
+        }
+        cluster.losePower(others[0]);
+        cluster.losePower(others[1]);
+        cluster.run(8s);
+        CPPUNIT_ASSERT(cluster.commitOne());
+        cluster.wipe(leader);
+        cluster.wipe(others[2]);
+        cluster.run(1s);
+        cluster.heal();
+        CPPUNIT_ASSERT(cluster.commitOne());
+        CPPUNIT_ASSERT(cluster.violations.empty());
+    }
+
     void allMachinesCanBeReplacedInTurn()
     {
         ReplicationCluster cluster(3, 5, anyInstanceSettings());
