LibTokenRouting: Let only targets of defined services show the end of another

A target that has deregistered and still serves its flows would have had them reset after a heartbeat of another writer that names its endpoint and a service that no configuration defines.

The new test failed before.

--- a/Libraries/LibTokenRouting/ServingView.cpp
+++ b/Libraries/LibTokenRouting/ServingView.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Marks the targets that are Gone and whose endpoint belongs to a target that started later.
-void markEnded(std::vector<ViewTarget> &targets)
+// Marks the targets that are Gone and whose endpoint belongs to a target of a defined service that started
+// later.
+void markEnded(std::vector<ViewTarget> &targets, std::set<std::string> const &definedServices)
 {
     absl::flat_hash_map<Endpoint, std::int64_t> latestStarts; // Only at endpoints of targets that are Gone.
     for (ViewTarget const &target : targets) {
@@ -20,7 +21,8 @@
     if (latestStarts.empty())
         return;
     for (ViewTarget const &target : targets) {
-        if (auto const latest = latestStarts.find(target.target.endpoint); latest != latestStarts.end())
+        auto const latest = latestStarts.find(target.target.endpoint);
+        if (latest != latestStarts.end() && definedServices.contains(target.target.service))
             latest->second = std::max(latest->second, target.target.reportVersion.startUnixMilliseconds);
     }
     for (ViewTarget &target : targets)
@@ -82,7 +84,7 @@
                      .idleTimeout = configuration.idleTimeout};
     for (FlowRoute const &route : configuration.routes)
         view.routes.emplace(route.endpoint, route);
-    markEnded(targets);
+    markEnded(targets, configuration.services);
     // A target whose token is used by a target that started earlier gets no flows.
     std::ranges::sort(targets, {}, [](ViewTarget const &target) {
         return std::pair(target.target.reportVersion.startUnixMilliseconds, target.target.number);
--- a/Libraries/LibTokenRouting/ServingView.h
+++ b/Libraries/LibTokenRouting/ServingView.h
@@ -21,8 +21,8 @@
     RegisteredTarget target;
     TargetToken token;
     bool isOverdue = false; // No heartbeat has arrived within the expected time.
-    // The target is Gone and another one has started later at its endpoint. Until then, a target that is Gone
-    // may still serve its flows. Set by makeServingView().
+    // The target is Gone and one of a defined service has started later at its endpoint. Until then, a target
+    // that is Gone may still serve its flows. Set by makeServingView().
     bool hasEnded = false;
 
     friend bool operator==(ViewTarget const &, ViewTarget const &) = default;
--- a/Tests/LibTokenRouting/TokenRouterTest.cpp
+++ b/Tests/LibTokenRouting/TokenRouterTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(answeringTargetWithoutHeartbeatsIsNotChecked);
     CPPUNIT_TEST(missingHeartbeatsOfHalfTheTargetsAreIgnored);
     CPPUNIT_TEST(targetsOfUndefinedServicesAreNoEvidence);
+    CPPUNIT_TEST(undefinedServiceAtEndpointResetsNoFlow);
     CPPUNIT_TEST(retransmittedOpenChoosesSameService);
     CPPUNIT_TEST_SUITE_END();
 
@@ -422,6 +423,18 @@
         CPPUNIT_ASSERT(this->fixture.checked == std::vector{TargetNumber{1}});
     }
 
+    // Guards against resets of flows at a target that has deregistered and still serves them, because of a
+    // heartbeat of another writer that names its endpoint.
+    void undefinedServiceAtEndpointResetsNoFlow()
+    {
+        RegisteredTarget foreign = testTarget(4, "dar-a", "audit");
+        foreign.endpoint = testTarget(1, "dar-a").endpoint;
+        foreign.reportVersion.startUnixMilliseconds = 200;
+        this->fixture.setTargets({goneTarget(1, "dar-a"), testTarget(2, "dar-a"), foreign});
+        CPPUNIT_ASSERT(
+            is<ForwardPacket>(this->fixture.decide(dataPacket(1, tokenOf(TargetNumber{1}), 1001, 1))));
+    }
+
     // Guards against a retransmitted opening packet that reaches another instance and chooses another service
     // there.
     void retransmittedOpenChoosesSameService()
