Tests/LibNode: Avoid temporary strings and copies that the linter refuses

clang-tidy refused two of the new tests: a string that was joined from temporaries, and a constant that could not be moved out of a function. What the tests check is the same.

--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -3,6 +3,7 @@
 #include <LibNode/NodeWire.h>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 namespace almondwing {
@@ -175,7 +176,7 @@
         std::string text = formatViewReply(sampleReply(), senderNow);
         text.back() = ',';
         for (char const *member : {"controls", "overdue", "unknown"}) {
-            std::string const nested = text + "\"" + member + "\":" + lists + "}";
+            std::string const nested = fmt::format("{}\"{}\":{}}}", text, member, lists);
             CPPUNIT_ASSERT_MESSAGE(member, !parseViewReply(nested, senderNow).ok());
         }
         CPPUNIT_ASSERT(!parseTargets(lists, senderNow).ok());
--- a/Tests/LibNode/RegistrySyncTest.cpp
+++ b/Tests/LibNode/RegistrySyncTest.cpp
@@ -154,7 +154,7 @@
         CPPUNIT_ASSERT(server.ok());
         Endpoint const receiverEndpoint = (*server)->localEndpoint();
         auto const startReceiver = [&](std::uint64_t bootId) {
-            auto const process = std::make_shared<SyncedRegistry>(running.runtime, receiverEndpoint, bootId);
+            auto process = std::make_shared<SyncedRegistry>(running.runtime, receiverEndpoint, bootId);
             process->registry.merge(report(1, RegisteredState::Ready), IoRuntime::now());
             receiver.update([&process](auto const &) { return process; });
             return process;
