Tests/LibNode: Show that an expired target does not come back after a partition

The instance has the target again only after a change of it, or after a restart of one of the two processes.

--- a/Tests/LibNode/RegistrySyncTest.cpp
+++ b/Tests/LibNode/RegistrySyncTest.cpp
@@ -84,6 +84,55 @@
                             .lastSeenAt = IoRuntime::now()};
 }
 
+// A control instance that sends its registry to another one, whose process can be restarted.
+class SyncedPair
+{
+public:
+    SyncedPair()
+    {
+        auto const opened = HttpServer::open(
+            this->running.runtime, anyLoopbackPort,
+            HttpServerHooks{.handle = [this](HttpRequest const &request, HttpResponder const &respond) {
+                (*this->receiver.read())->handle(request, respond);
+            }});
+        CPPUNIT_ASSERT(opened.ok());
+        this->server = *opened;
+        this->sender = std::make_unique<SyncedRegistry>(this->running.runtime,
+                                                        Endpoint{.address = 0x0a000002, .port = 9000}, 4);
+        this->sender->directory.recordContact(this->server->localEndpoint(), "dar-b", IoRuntime::now());
+    }
+    ~SyncedPair() { this->running.stop(); }
+    SyncedPair(SyncedPair const &) = delete;
+    SyncedPair &operator=(SyncedPair const &) = delete;
+
+    // The process has loaded the target as ready.
+    std::shared_ptr<SyncedRegistry> startReceiver(std::uint64_t bootId)
+    {
+        auto process =
+            std::make_shared<SyncedRegistry>(this->running.runtime, this->server->localEndpoint(), bootId);
+        process->registry.merge(report(1, RegisteredState::Ready), IoRuntime::now());
+        this->receiver.update([&process](auto const &) { return process; });
+        return process;
+    }
+
+    // Sends a heartbeat round and waits until the receiver has handled `exchanges` more calls.
+    void sendHeartbeats(SyncedRegistry const &process, int exchanges)
+    {
+        int const before = process.handledExchanges;
+        this->nextRound =
+            std::max(this->nextRound, IoRuntime::now()) + RegistrySyncSettings{}.heartbeatRoundInterval;
+        this->sender->registrySync.sync(this->nextRound);
+        NodeFixture::waitUntil("the receiver has handled the heartbeats",
+                               [&] { return process.handledExchanges >= before + exchanges; });
+    }
+
+    RunningRuntime running;
+    Cell<std::shared_ptr<SyncedRegistry>> receiver;
+    std::shared_ptr<HttpServer> server;
+    std::unique_ptr<SyncedRegistry> sender;
+    Timestamp nextRound;
+};
+
 } // namespace
 
 class RegistrySyncTest : public CppUnit::TestFixture
@@ -91,6 +140,7 @@
     CPPUNIT_TEST_SUITE(RegistrySyncTest);
     CPPUNIT_TEST(largeRegistryIsSentInParts);
     CPPUNIT_TEST(heartbeatForFormerProcessKeepsOutdatedRecordReplaceable);
+    CPPUNIT_TEST(heartbeatBringsBackExpiredTarget);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against calls that can't be answered in time after a restart of all control instances: each
@@ -143,39 +193,37 @@
     void heartbeatForFormerProcessKeepsOutdatedRecordReplaceable()
     {
         TargetNumber const number = report(1, RegisteredState::Ready).number;
-        Endpoint const senderEndpoint{.address = 0x0a000002, .port = 9000};
-        RunningRuntime running;
-        Cell<std::shared_ptr<SyncedRegistry>> receiver;
-        auto const server = HttpServer::open(
-            running.runtime, anyLoopbackPort,
-            HttpServerHooks{.handle = [&receiver](HttpRequest const &request, HttpResponder const &respond) {
-                (*receiver.read())->handle(request, respond);
-            }});
-        CPPUNIT_ASSERT(server.ok());
-        Endpoint const receiverEndpoint = (*server)->localEndpoint();
-        auto const startReceiver = [&](std::uint64_t bootId) {
-            auto process = std::make_shared<SyncedRegistry>(running.runtime, receiverEndpoint, bootId);
-            process->registry.merge(report(1, RegisteredState::Ready), IoRuntime::now());
-            receiver.update([&process](auto const &) { return process; });
-            return process;
-        };
-        SyncedRegistry sender(running.runtime, senderEndpoint, 4);
-        absl::Cleanup const stop = [&running] { running.stop(); };
-        sender.directory.recordContact(receiverEndpoint, "dar-b", IoRuntime::now());
-
-        auto const former = startReceiver(5);
-        sender.registry.merge(report(2, RegisteredState::Draining), IoRuntime::now());
-        sender.waitUntilSynced();
+        SyncedPair pair;
+        auto const former = pair.startReceiver(5);
+        pair.sender->registry.merge(report(2, RegisteredState::Draining), IoRuntime::now());
+        pair.sender->waitUntilSynced();
         CPPUNIT_ASSERT(former->stateOf(number) == RegisteredState::Draining);
 
-        auto const restarted = startReceiver(6);
-        sender.registry.merge(report(3, RegisteredState::Draining), IoRuntime::now());
-        sender.registrySync.sync(IoRuntime::now() + RegistrySyncSettings{}.heartbeatRoundInterval);
-        NodeFixture::waitUntil("the restarted process has the heartbeats and then the full registry",
-                               [&] { return restarted->handledExchanges >= 2; });
+        auto const restarted = pair.startReceiver(6);
+        pair.sender->registry.merge(report(3, RegisteredState::Draining), IoRuntime::now());
+        pair.sendHeartbeats(*restarted, 2); // The heartbeats, and then the whole registry.
         CPPUNIT_ASSERT(restarted->stateOf(number) == RegisteredState::Draining);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, restarted->registry.find(number)->reportVersion.sequence);
     }
+
+    // Guards against a living target that a control instance never learns of again: after a partition longer
+    // than the retention it has removed the record, and its peer still sends only heartbeats for it.
+    void heartbeatBringsBackExpiredTarget()
+    {
+        TargetNumber const number = report(1, RegisteredState::Ready).number;
+        SyncedPair pair;
+        auto const process = pair.startReceiver(5);
+        pair.sender->registry.merge(report(2, RegisteredState::Ready), IoRuntime::now());
+        pair.sender->waitUntilSynced();
+        process->registry.removeExpired(IoRuntime::now() + RegistrySettings{}.retention + 1s);
+        CPPUNIT_ASSERT(!process->registry.find(number).has_value());
+
+        pair.sender->registry.merge(report(3, RegisteredState::Ready), IoRuntime::now());
+        pair.sendHeartbeats(*process, 1);
+        pair.sender->registry.merge(report(4, RegisteredState::Ready), IoRuntime::now());
+        pair.sendHeartbeats(*process, 1);
+        CPPUNIT_ASSERT(process->registry.find(number).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistrySyncTest);
