--- a/Tests/LibNode/PropagationTest.cpp
+++ b/Tests/LibNode/PropagationTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(repeatedDrainIsRefusedWithoutMajority);
     CPPUNIT_TEST(newProcessReceivesWholeRegistry);
     CPPUNIT_TEST(heartbeatForUndefinedServiceEndsNoTarget);
+    CPPUNIT_TEST(ignoredDrainIsNotStored);
     CPPUNIT_TEST(unchangedViewReplyIsEmpty);
     CPPUNIT_TEST(invalidInputIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -133,6 +134,23 @@
         CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Gone);
     }
 
+    // Guards against a living target that drains after a restart of its control instance, because the drain
+    // of another writer, which the registry has ignored, was written to the disk.
+    void ignoredDrainIsNotStored()
+    {
+        NodeFixture fixture(1);
+        fixture.callUntilSuccess("/replace", "3 198.18.0.1:443 orders");
+        fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
+        RegisteredTarget foreign = reportedTarget(7, 1, RegisteredState::Draining);
+        foreign.service = "audit";
+        foreign.reportVersion.startUnixMilliseconds = 200;
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(foreign)).isSuccess());
+        CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Ready);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.events.count(Event::EndAnswered));
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeat(7, 2, RegisteredState::Draining)).isSuccess());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.events.count(Event::EndAnswered));
+    }
+
     void unchangedViewReplyIsEmpty()
     {
         NodeFixture fixture(1);
