Tests/LibNode: Build reports of other writers and targets in one place

Three tests set up the same report of another writer, and the tests of the synchronization repeated the target of the fixture.

--- a/Tests/LibNode/EntryNodeTest.cpp
+++ b/Tests/LibNode/EntryNodeTest.cpp
@@ -80,10 +80,8 @@
         EntryFixture entryFixture;
         Endpoint const packets = freeEndpointOf<boost::asio::ip::udp>();
         EntryNode const &entry = entryFixture.startEntry(packets, freeEndpoint());
-        RegisteredTarget foreign = reportedTarget(8, 1, RegisteredState::Ready);
-        foreign.service = "audit";
+        RegisteredTarget foreign = foreignReport(8, RegisteredState::Ready);
         foreign.endpoint = entryFixture.testSocket->localEndpoint();
-        foreign.reportVersion.startUnixMilliseconds = 200;
         entryFixture.nodeFixture.callUntilSuccess("/heartbeat", heartbeatOf(foreign));
         auto const tokenText = [](std::uint64_t number) { return tokenOf(TargetNumber{number}).value; };
         std::string const toForeign = fmt::format("data 1 {}", tokenText(8));
--- a/Tests/LibNode/NodeFixture.h
+++ b/Tests/LibNode/NodeFixture.h
@@ -128,6 +128,16 @@
                             .coldUntil = now};
 }
 
+// A report of another writer, with a later start than reportedTarget() and for a service that the tests'
+// configurations do not define.
+inline RegisteredTarget foreignReport(std::uint64_t number, RegisteredState state)
+{
+    RegisteredTarget target = reportedTarget(number, 1, state);
+    target.service = "audit";
+    target.reportVersion.startUnixMilliseconds = 200;
+    return target;
+}
+
 // Returns the body of a target's heartbeat for the adapter of the tests.
 inline std::string heartbeatOf(RegisteredTarget const &target)
 {
--- a/Tests/LibNode/PropagationTest.cpp
+++ b/Tests/LibNode/PropagationTest.cpp
@@ -113,9 +113,7 @@
         NodeFixture fixture(1);
         fixture.callUntilSuccess("/replace", "3 198.18.0.1:443 orders");
         fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
-        RegisteredTarget foreign = reportedTarget(8, 1, RegisteredState::Ready);
-        foreign.service = "audit";
-        foreign.reportVersion.startUnixMilliseconds = 200;
+        RegisteredTarget foreign = foreignReport(8, RegisteredState::Ready);
         CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(foreign)).isSuccess());
         CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Ready);
 
@@ -141,9 +139,7 @@
         NodeFixture fixture(1);
         fixture.callUntilSuccess("/replace", "3 198.18.0.1:443 orders");
         fixture.call(0, "/heartbeat", heartbeat(7, 1, RegisteredState::Ready));
-        RegisteredTarget foreign = reportedTarget(7, 1, RegisteredState::Draining);
-        foreign.service = "audit";
-        foreign.reportVersion.startUnixMilliseconds = 200;
+        RegisteredTarget const foreign = foreignReport(7, RegisteredState::Draining);
         CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(foreign)).isSuccess());
         CPPUNIT_ASSERT(stateAt(fixture, 0, 7) == RegisteredState::Ready);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.events.count(Event::EndAnswered));
--- a/Tests/LibNode/RegistrySyncTest.cpp
+++ b/Tests/LibNode/RegistrySyncTest.cpp
@@ -74,14 +74,10 @@
 
 RegisteredTarget report(std::uint64_t sequence, RegisteredState state)
 {
-    return RegisteredTarget{.number = TargetNumber{7},
-                            .service = "orders",
-                            .failureDomain = "dar-a",
-                            .endpoint = Endpoint{.address = 0x0a800001, .port = 8080},
-                            .state = state,
-                            .reportVersion =
-                                ReportVersion{.startUnixMilliseconds = 100, .sequence = sequence},
-                            .lastSeenAt = IoRuntime::now()};
+    RegisteredTarget target = reportedTarget(7, sequence, state);
+    target.lastSeenAt = IoRuntime::now();
+    target.coldUntil = target.lastSeenAt;
+    return target;
 }
 
 // A control instance that sends its registry to another one, whose process can be restarted.
