Tests/LibNode: Make the tests of the synchronization independent of speed

They used timeouts of 0.4 s and 1.5 s, so a pause of the machine could have failed them. Calls and peers don't time out within a test now, and rounds are repeated until the receiver has confirmed.

--- a/Tests/LibNode/RegistrySyncTest.cpp
+++ b/Tests/LibNode/RegistrySyncTest.cpp
@@ -34,12 +34,20 @@
     std::set<TargetNumber> received;
 };
 
-// The registry of one process of a control instance and its synchronization.
+// Longer than the simulated time of a test.
+constexpr Duration farFuture = 24h;
+
+// The registry of one process of a control instance and its synchronization. Its timeouts do not depend on
+// the speed of the machine.
 struct SyncedRegistry
 {
     SyncedRegistry(IoRuntime &runtime, Endpoint self, std::uint64_t bootId)
         : registrySync(runtime,
-                       RegistrySyncSettings{.self = self, .failureDomain = "dar-a", .bootId = bootId},
+                       RegistrySyncSettings{.self = self,
+                                            .failureDomain = "dar-a",
+                                            .bootId = bootId,
+                                            .callTimeout = hangLimit,
+                                            .peerTimeout = farFuture},
                        this->registry, this->directory, this->activity, [this] { return this->flows.read(); })
     {
     }
@@ -52,16 +60,6 @@
         respond(HttpResponse{.body = formatRegistryExchangeReply(reply)});
     }
 
-    // Waits until the live peers have confirmed all changes.
-    void waitUntilSynced()
-    {
-        std::promise<std::size_t> holders;
-        this->registrySync.whenSynced(
-            IoRuntime::now() + hangLimit,
-            [&holders](RegistrySync::SyncResult const &result) { holders.set_value(result.holders); });
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, valueOf(holders.get_future()));
-    }
-
     RegisteredState stateOf(TargetNumber number) const { return this->registry.find(number)->state; }
 
     TargetRegistry registry{RegistrySettings{}};
@@ -111,15 +109,37 @@
         return process;
     }
 
-    // Sends a heartbeat round and waits until the receiver has handled `exchanges` more calls.
-    void sendHeartbeats(SyncedRegistry const &process, int exchanges)
+    // Sends heartbeat rounds, one at a time, until the condition holds. No call is under way afterwards if
+    // the condition holds with the reply to a call.
+    template<typename Condition>
+    void syncUntil(char const *what, Condition const &condition)
+    {
+        NodeFixture::waitUntil(what, [&] {
+            if (condition())
+                return true;
+            this->nextRound =
+                std::max(this->nextRound, IoRuntime::now()) + RegistrySyncSettings{}.heartbeatRoundInterval;
+            this->sender->registrySync.sync(this->nextRound);
+            return false;
+        });
+    }
+
+    void syncUntilConfirmed()
+    {
+        auto const isConfirmed = std::make_shared<std::atomic<bool>>(false);
+        this->sender->registrySync.whenSynced(
+            IoRuntime::now() + farFuture,
+            [isConfirmed](RegistrySync::SyncResult const &result) { *isConfirmed = result.holders == 2; });
+        this->syncUntil("the receiver has confirmed all changes", [&] { return isConfirmed->load(); });
+    }
+
+    // Sends a heartbeat and waits until the receiver has handled `exchanges` more calls.
+    void sendHeartbeat(RegisteredTarget const &heartbeat, SyncedRegistry const &process, int exchanges)
     {
+        this->sender->registry.merge(heartbeat, IoRuntime::now());
         int const before = process.handledExchanges;
-        this->nextRound =
-            std::max(this->nextRound, IoRuntime::now()) + RegistrySyncSettings{}.heartbeatRoundInterval;
-        this->sender->registrySync.sync(this->nextRound);
-        NodeFixture::waitUntil("the receiver has handled the heartbeats",
-                               [&] { return process.handledExchanges >= before + exchanges; });
+        this->syncUntil("the receiver has handled the heartbeat",
+                        [&] { return process.handledExchanges >= before + exchanges; });
     }
 
     RunningRuntime running;
@@ -192,12 +212,12 @@
         SyncedPair pair;
         auto const former = pair.startReceiver(5);
         pair.sender->registry.merge(report(2, RegisteredState::Draining), IoRuntime::now());
-        pair.sender->waitUntilSynced();
+        pair.syncUntilConfirmed();
         CPPUNIT_ASSERT(former->stateOf(number) == RegisteredState::Draining);
 
         auto const restarted = pair.startReceiver(6);
-        pair.sender->registry.merge(report(3, RegisteredState::Draining), IoRuntime::now());
-        pair.sendHeartbeats(*restarted, 2); // The heartbeats, and then the whole registry.
+        // The first exchange has the heartbeat, and the second one the whole registry.
+        pair.sendHeartbeat(report(3, RegisteredState::Draining), *restarted, 2);
         CPPUNIT_ASSERT(restarted->stateOf(number) == RegisteredState::Draining);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, restarted->registry.find(number)->reportVersion.sequence);
     }
@@ -210,14 +230,12 @@
         SyncedPair pair;
         auto const process = pair.startReceiver(5);
         pair.sender->registry.merge(report(2, RegisteredState::Ready), IoRuntime::now());
-        pair.sender->waitUntilSynced();
+        pair.syncUntilConfirmed();
         process->registry.removeExpired(IoRuntime::now() + RegistrySettings{}.retention + 1s);
         CPPUNIT_ASSERT(!process->registry.find(number).has_value());
 
-        pair.sender->registry.merge(report(3, RegisteredState::Ready), IoRuntime::now());
-        pair.sendHeartbeats(*process, 1);
-        pair.sender->registry.merge(report(4, RegisteredState::Ready), IoRuntime::now());
-        pair.sendHeartbeats(*process, 1);
+        for (std::uint64_t sequence = 3; sequence < 6; ++sequence)
+            pair.sendHeartbeat(report(sequence, RegisteredState::Ready), *process, 2);
         CPPUNIT_ASSERT(process->registry.find(number).has_value());
     }
 };
