LibRegistry: Say what Gone means in the comments of the registry

The comments said that a target which is Gone has certainly ended, which holds no longer for one that has deregistered. No code has changed.

--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -34,7 +34,7 @@
 {
     if (report.state == RegisteredState::Gone)
         return this->markGone(report.number, report.reportVersion.startUnixMilliseconds, now);
-    // The report is delayed, and another target has taken over the endpoint since.
+    // A report that was delayed until another target had taken over the endpoint, or one of another writer.
     if (this->isSuperseded(report) || this->isForeignReport(report))
         return MergeOutcome::Unchanged;
     MergeOutcome const outcome = this->store(report, now, reporter);
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -95,7 +95,7 @@
     // target is not known here: the other instance also sends the full record.
     MergeOutcome mergeHeartbeat(RegisteredTarget const &heartbeat, Timestamp now, Endpoint reporter);
 
-    // Marks a target that has certainly ended. Does nothing if it has started again after the given start.
+    // Marks a target as Gone. Does nothing if it has started again after the given start.
     MergeOutcome markGone(TargetNumber number, std::int64_t startUnixMilliseconds, Timestamp now);
 
     // Treats all targets of a failure domain as cold until the given time, since they may be cold when it
