LibNode: Let a control instance ask for the records of heartbeats

Callers saw: after a partition of more than a minute between control instances, the targets that report to one side stayed unused by the entries of the other until they changed or restarted.

Cause: a control instance removes a record 60 s after its last heartbeat. Peers send a record once and then only heartbeats, four numbers each, which were ignored without the record.

Change: the reply to an exchange names the heartbeats without a record here, and the sender adds these records to its next exchange. A heartbeat that is overdue is not asked for, so a target that has failed is not brought back, and the records of one call are bounded as before. It works after a missed restart of a target as well.

--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -384,13 +384,19 @@
 
 std::string formatRegistryExchangeReply(RegistryExchangeReply const &reply)
 {
-    return Json{{"boot", reply.bootId}}.dump();
+    Json json{{"boot", reply.bootId}};
+    for (TargetNumber const number : reply.missing)
+        json["missing"].push_back(number.value);
+    return json.dump();
 }
 
 absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text)
 {
     return parseJson(text, [](Json const &json) {
-        return RegistryExchangeReply{.bootId = json.at("boot").get<std::uint64_t>()};
+        RegistryExchangeReply reply{.bootId = json.at("boot").get<std::uint64_t>()};
+        for (Json const &number : json.value("missing", Json::array())) // Absent if there are none.
+            reply.missing.push_back(TargetNumber{number.get<std::uint64_t>()});
+        return reply;
     });
 }
 
--- a/Libraries/LibNode/NodeWire.h
+++ b/Libraries/LibNode/NodeWire.h
@@ -110,6 +110,8 @@
 struct RegistryExchangeReply
 {
     std::uint64_t bootId = 0; // Of the receiving process; a new process needs the whole registry.
+    // Targets whose heartbeats arrived without a record that is known here; the sender sends the records.
+    std::vector<TargetNumber> missing;
 
     friend bool operator==(RegistryExchangeReply const &, RegistryExchangeReply const &) = default;
 };
--- a/Libraries/LibNode/RegistrySync.cpp
+++ b/Libraries/LibNode/RegistrySync.cpp
@@ -75,12 +75,25 @@
     return exchange;
 }
 
+void RegistrySync::addMissing(std::vector<RegisteredTarget> &targets,
+                              std::vector<TargetNumber> const &missing) const
+{
+    for (TargetNumber const number : missing) {
+        if (targets.size() >= this->settings.maxTargetsPerExchange)
+            return;
+        auto record = this->registry.find(number);
+        if (record && std::ranges::find(targets, number, &RegisteredTarget::number) == targets.end())
+            targets.push_back(*std::move(record));
+    }
+}
+
 void RegistrySync::syncPeer(ControlPeer const &peer, Timestamp now)
 {
     auto const link = this->linkTo(peer.endpoint);
     std::scoped_lock const lock(link->mutex);
     bool const isHeartbeatRound = now - link->lastHeartbeatRound >= this->settings.heartbeatRoundInterval;
-    bool const hasChanges = this->registry.changeGeneration() > link->confirmedGeneration;
+    bool const hasChanges =
+        this->registry.changeGeneration() > link->confirmedGeneration || !link->missing.empty();
     // A peer that doesn't answer is called once per heartbeat round.
     if (link->isCallPending || (!isHeartbeatRound && !(hasChanges && this->isAlive(peer, now))))
         return;
@@ -88,6 +101,7 @@
     RegistryChanges changes =
         this->registry.oldestChangesAfter(link->confirmedGeneration, this->settings.maxTargetsPerExchange);
     std::uint64_t const sentGeneration = changes.isTruncated ? changes.lastGeneration : generation;
+    this->addMissing(changes.targets, std::exchange(link->missing, {}));
     RegistryExchange const exchange = this->exchangeFor(*link, std::move(changes), isHeartbeatRound, now);
     link->isCallPending = true;
     if (isHeartbeatRound)
@@ -123,13 +137,15 @@
         if (!reply.ok())
             return;
         this->directory.recordContact(peer, "", now);
+        link.missing = reply->missing;
+        hasMoreToSend = !link.missing.empty();
         if (reply->bootId != link.bootId) {
             // A new process has no records, and the exchange just sent may have been only a delta.
             bool const wasFull = link.confirmedGeneration == 0;
             link.bootId = reply->bootId;
             link.confirmedGeneration = wasFull ? sentGeneration : 0;
             link.confirmedHeartbeatGeneration = 0;
-            hasMoreToSend = !wasFull;
+            hasMoreToSend |= !wasFull;
         } else {
             link.confirmedGeneration = std::max(link.confirmedGeneration, sentGeneration);
             if (wasHeartbeatRound)
@@ -158,9 +174,12 @@
     // A heartbeat has only the version of a record. If it referred to a record that a former process had
     // confirmed, an outdated record that this process has loaded from its disk would get that version, and
     // the record that the peer sends next would be ignored as known.
+    RegistryExchangeReply reply{.bootId = this->settings.bootId};
     if (exchange.receiverBootId.value_or(this->settings.bootId) == this->settings.bootId) {
-        for (RegisteredTarget const &target : exchange.heartbeats)
-            this->registry.mergeHeartbeat(target, now, exchange.from);
+        for (RegisteredTarget const &target : exchange.heartbeats) {
+            if (this->registry.mergeHeartbeat(target, now, exchange.from) == MergeOutcome::UnknownRun)
+                reply.missing.push_back(target.number);
+        }
     }
     if (!exchange.flows.empty()) {
         GroupFlows flows;
@@ -168,7 +187,7 @@
             flows[load.group] = load.flows;
         this->activity.updatePeer(exchange.from.toString(), flows, now);
     }
-    return RegistryExchangeReply{.bootId = this->settings.bootId};
+    return reply;
 }
 
 void RegistrySync::whenSynced(Timestamp deadline, std::function<void(SyncResult)> done)
--- a/Libraries/LibNode/RegistrySync.h
+++ b/Libraries/LibNode/RegistrySync.h
@@ -1,5 +1,6 @@
 // Synchronizes the registry of targets between control instances. Changes are sent at once and heartbeats
-// about once a second, both as deltas to what the peer has confirmed.
+// about once a second, both as deltas to what the peer has confirmed. A peer that lacks the record of a
+// heartbeat, because the record expired there during a partition, asks for it with its reply.
 
 #pragma once
 
@@ -72,6 +73,7 @@
         std::uint64_t confirmedHeartbeatGeneration = 0;
         bool isCallPending = false;
         Timestamp lastHeartbeatRound;
+        std::vector<TargetNumber> missing; // Records that the process lacks, by its latest reply.
         std::vector<Endpoint> reachablePeers; // As reported by the peer.
     };
 
@@ -86,6 +88,8 @@
     void syncPeer(ControlPeer const &peer, Timestamp now);
     RegistryExchange exchangeFor(PeerLink const &link, RegistryChanges changes, bool isHeartbeatRound,
                                  Timestamp now) const;
+    // Adds the records that the peer lacks, as far as they fit into one call.
+    void addMissing(std::vector<RegisteredTarget> &targets, std::vector<TargetNumber> const &missing) const;
     void handleReply(Endpoint peer, PeerLink &link, std::uint64_t sentGeneration, bool wasHeartbeatRound,
                      absl::StatusOr<HttpResponse> const &response);
     void resolveWaiters(Timestamp now);
--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -90,7 +90,11 @@
                                             Endpoint reporter)
 {
     auto known = this->find(heartbeat.number);
-    if (!known || known->reportVersion.startUnixMilliseconds != heartbeat.reportVersion.startUnixMilliseconds)
+    std::int64_t const knownStart = known ? known->reportVersion.startUnixMilliseconds : 0;
+    // The record of a target whose heartbeats have stopped is about to expire where it is still known.
+    if (knownStart < heartbeat.reportVersion.startUnixMilliseconds)
+        return this->isOverdue(heartbeat, now) ? MergeOutcome::Unchanged : MergeOutcome::UnknownRun;
+    if (knownStart > heartbeat.reportVersion.startUnixMilliseconds)
         return MergeOutcome::Unchanged;
     known->reportVersion = heartbeat.reportVersion;
     known->lastSeenAt = heartbeat.lastSeenAt;
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -37,6 +37,9 @@
     Unchanged, // Nothing is stored, for example because the report is not newer or its run has ended.
     Refreshed, // The report is newer, but changes nothing that matters for routing.
     Changed, // The record has changed in a way that matters for routing.
+    // Nothing is stored, because the heartbeat refers to a run of the target whose record is not known here.
+    // Only mergeHeartbeat() returns this.
+    UnknownRun,
 };
 
 struct RegistryEntry
@@ -91,8 +94,8 @@
     // Merges a heartbeat or a record of another instance, if not outdated. State Gone acts like markGone().
     MergeOutcome merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter = {});
 
-    // Merges a heartbeat without a change that another instance relays. Does nothing if this run of the
-    // target is not known here: the other instance also sends the full record.
+    // Merges a heartbeat without a change that another instance relays. The result is UnknownRun if the
+    // target is alive, but the record of this run has expired here or never arrived.
     MergeOutcome mergeHeartbeat(RegisteredTarget const &heartbeat, Timestamp now, Endpoint reporter);
 
     // Marks a target as Gone. Does nothing if it has started again after the given start.
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(viewMessagesRoundTrip);
     CPPUNIT_TEST(namesWithSpecialCharactersRoundTrip);
     CPPUNIT_TEST(registryExchangeRoundTrips);
+    CPPUNIT_TEST(missingRecordsRoundTrip);
     CPPUNIT_TEST(truncatedMessagesAreRejected);
     CPPUNIT_TEST(invalidFieldsAreRejected);
     CPPUNIT_TEST(longDurationsAreAccepted);
@@ -148,6 +149,13 @@
         CPPUNIT_ASSERT(*parsed == exchange);
     }
 
+    void missingRecordsRoundTrip()
+    {
+        RegistryExchangeReply const reply{.bootId = 4, .missing = {TargetNumber{7}, TargetNumber{9}}};
+        CPPUNIT_ASSERT(*parseRegistryExchangeReply(formatRegistryExchangeReply(reply)) == reply);
+        CPPUNIT_ASSERT(parseRegistryExchangeReply(R"({"boot":4})")->missing.empty());
+    }
+
     void truncatedMessagesAreRejected()
     {
         std::string const text = formatViewReply(sampleReply(), senderNow);
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -270,13 +270,21 @@
         RegisteredTarget relayed{.number = TargetNumber{1},
                                  .reportVersion = ReportVersion{.startUnixMilliseconds = 100, .sequence = 6},
                                  .lastSeenAt = start + 1s};
-        CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start, peer) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start, peer) == MergeOutcome::UnknownRun);
+        CPPUNIT_ASSERT(!this->registry.find(TargetNumber{1}));
         this->registry.merge(targetAt(1, 100, 5, RegisteredState::Draining), start);
         CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start, peer) == MergeOutcome::Refreshed);
         CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Draining);
         CPPUNIT_ASSERT(this->registry.find(TargetNumber{1})->lastSeenAt == start + 1s);
         relayed.reportVersion = ReportVersion{.startUnixMilliseconds = 200, .sequence = 1};
+        CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start, peer) == MergeOutcome::UnknownRun);
+        CPPUNIT_ASSERT(this->stateOf(1) == RegisteredState::Draining);
+        // A heartbeat of an earlier run, or one that is so old that the target has failed since, needs no
+        // record.
+        relayed.reportVersion = ReportVersion{.startUnixMilliseconds = 50, .sequence = 9};
         CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start, peer) == MergeOutcome::Unchanged);
+        relayed.number = TargetNumber{2};
+        CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start + 10s, peer) == MergeOutcome::Unchanged);
     }
 
     void markedTargetsAreColdUntilNextHeartbeat()
