--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -188,6 +188,11 @@
         Event::EndAnswered, Severity::Information, "EndAnswered",
         "The drain or end request of a target was answered after the control instances were notified.",
         "Look at the links between control instances if it was not acknowledged."},
+    EventDescription{
+        Event::ReportRefused, Severity::Warning, "ReportRefused",
+        "A heartbeat or deregistration that no target sends was refused; it changed nothing. At most one "
+        "line a second.",
+        "Find the writer by the path and the reason; almondwing_reports_refused_total counts all of them."},
     EventDescription{Event::FlowPlaced, Severity::Information, "FlowPlaced",
                      "The opening packet of a flow was sent to a target.", "None."},
     EventDescription{Event::FlowReset, Severity::Information, "FlowReset",
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -70,6 +70,7 @@
     TargetUnreachable = 1410,
     RegistryNotStored = 1411,
     EndAnswered = 1412,
+    ReportRefused = 1413,
     FlowPlaced = 1500,
     FlowReset = 1501,
     PacketDropped = 1502,
--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -78,9 +78,15 @@
     : runtime(ioRuntime), settings(std::move(nodeSettings)), adapter(std::move(controlAdapter)),
       report(std::move(eventReporter)), bootId(randomNumber()),
       registry(RegistrySettings{.heartbeatInterval = settings.heartbeatInterval},
-               TargetRegistryHooks{.isServiceDefined = [this](std::string const &service) {
-                   return this->log->applied()->view.configuration.services.contains(service);
-               }})
+               TargetRegistryHooks{.isServiceDefined =
+                                       [this](std::string const &service) {
+                                           return this->log->applied()->view.configuration.services.contains(
+                                               service);
+                                       },
+                                   .isDomainKnown =
+                                       [this](std::string const &domain) {
+                                           return this->failureDomains.read()->contains(domain);
+                                       }})
 {
     DocumentLogHooks hooks{
         .send = [this](ReplicaEnvelope const &envelope) { this->sendReplication(envelope); },
@@ -111,6 +117,7 @@
     this->store = std::make_unique<RegistryStore>(this->runtime, *this->settings.dataFolder + "/registry",
                                                   this->registry, this->report);
     this->addSeeds(this->settings.seeds);
+    this->addFailureDomains(this->settings.failureDomains);
 }
 
 absl::Status ControlServer::open()
@@ -139,6 +146,14 @@
     this->directory.addPeer(*this->settings.control, this->settings.failureDomain);
 }
 
+void ControlServer::addFailureDomains(std::vector<std::string> const &names)
+{
+    this->failureDomains.update([&names](std::set<std::string> known) {
+        known.insert(names.begin(), names.end());
+        return known;
+    });
+}
+
 void ControlServer::tick()
 {
     Timestamp const now = IoRuntime::now();
@@ -181,7 +196,8 @@
         .contact = *this->log->contact(),
         .configurationVersion = this->log->applied()->state.version,
         .targets = static_cast<std::size_t>(std::ranges::count_if(
-            targets, [](RegisteredTarget const &target) { return target.state != RegisteredState::Gone; }))};
+            targets, [](RegisteredTarget const &target) { return target.state != RegisteredState::Gone; })),
+        .reportRefusals = *this->refusals.read()};
 }
 
 std::vector<std::string> ControlServer::knownInstances() const
--- a/Libraries/LibNode/ControlServer.h
+++ b/Libraries/LibNode/ControlServer.h
@@ -12,10 +12,13 @@
 #include <LibNode/ViewServer.h>
 #include <LibSettings/NodeSettings.h>
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace almondwing {
 
@@ -57,7 +60,19 @@
     friend bool operator==(InvalidCall const &, InvalidCall const &) = default;
 };
 
-using ControlCall = std::variant<HeartbeatCall, DeregisterCall, ChangeCall, ReadCall, InvalidCall>;
+// A heartbeat or deregistration that no target sends. It is refused with status 400 and changes nothing.
+struct InvalidReport
+{
+    std::string field; // One of a few names; refusals are counted by it.
+    std::string reason;
+
+    friend bool operator==(InvalidReport const &, InvalidReport const &) = default;
+};
+
+using ControlCall =
+    std::variant<HeartbeatCall, DeregisterCall, ChangeCall, ReadCall, InvalidCall, InvalidReport>;
+
+using ReportRefusals = std::map<std::string, std::uint64_t>; // Refused reports by field.
 
 // State of a control instance that is exported as metrics.
 struct ControlState
@@ -65,6 +80,7 @@
     LogContact contact;
     std::uint64_t configurationVersion = 0;
     std::size_t targets = 0;
+    ReportRefusals reportRefusals;
 
     friend bool operator==(ControlState const &, ControlState const &) = default;
 };
@@ -97,6 +113,9 @@
     // Adds the seeds of reloaded settings. Seeds without a contact before the next tick are removed again.
     void addSeeds(std::vector<Endpoint> const &seeds);
 
+    // Adds the failure domains of reloaded settings. Until then, reports that name a new one are refused.
+    void addFailureDomains(std::vector<std::string> const &names);
+
 private:
     void handle(HttpRequest const &request, HttpResponder const &respond);
     // Returns false if the call is not one between instances.
@@ -106,6 +125,7 @@
     void answer(HttpRequest const &request, ChangeCall const &call, HttpResponder const &respond);
     void answer(HttpRequest const &request, ReadCall const &call, HttpResponder const &respond);
     void answer(HttpRequest const &request, InvalidCall const &call, HttpResponder const &respond);
+    void answer(HttpRequest const &request, InvalidReport const &call, HttpResponder const &respond);
     void answerEnd(RegisteredTarget const &target, std::string_view state, HttpResponder const &respond);
     void answerWhenSynced(std::string const &logFields, HttpResponder const &respond);
     void answerChange(HttpRequest const &request, absl::Status const &status, Timestamp since,
@@ -123,6 +143,10 @@
     ControlAdapter adapter;
     EventReporter report;
     std::uint64_t bootId; // Random; identifies this process.
+    Cell<std::set<std::string>> failureDomains; // Those that reports may name.
+    Cell<ReportRefusals> refusals;
+    std::atomic<Timestamp> nextRefusalLine{
+        Timestamp{}}; // The earliest time of the next log line of a refusal.
     TargetRegistry registry;
     PeerDirectory directory;
     ActivityBlackboard activity;
--- a/Libraries/LibNode/ControlServerAnswers.cpp
+++ b/Libraries/LibNode/ControlServerAnswers.cpp
@@ -16,12 +16,21 @@
 // A target waits 1 s for its acknowledgement, so the other control instances must confirm within less.
 constexpr Duration maxSyncTime = 700ms;
 
+// The writer of refused reports may be faster than any target; the counters are exact.
+constexpr Duration refusalLineInterval = 1s;
+
 } // namespace
 
-void ControlServer::answer(HttpRequest const &, HeartbeatCall const &call, HttpResponder const &respond)
+void ControlServer::answer(HttpRequest const &request, HeartbeatCall const &call,
+                           HttpResponder const &respond)
 {
     Timestamp const now = IoRuntime::now();
     RegisteredTarget target = call.target;
+    if (absl::Status const status = this->registry.mayBeUsed(target); !status.ok()) {
+        this->answer(request, InvalidReport{.field = "record", .reason = std::string(status.message())},
+                     respond);
+        return;
+    }
     target.lastSeenAt = now;
     target.coldUntil = now + call.coldFor;
     bool const hasChanged = this->registry.merge(target, now) == MergeOutcome::Changed;
@@ -108,9 +117,8 @@
 
 void ControlServer::answer(HttpRequest const &request, ChangeCall const &call, HttpResponder const &respond)
 {
-    if (auto const *const domain = std::get_if<TakeOutFailureDomain>(&call.change); domain != nullptr
-        && std::ranges::find(this->settings.failureDomains, domain->failureDomain)
-            == this->settings.failureDomains.end()) {
+    if (auto const *const domain = std::get_if<TakeOutFailureDomain>(&call.change);
+        domain != nullptr && !this->failureDomains.read()->contains(domain->failureDomain)) {
         this->answer(request,
                      InvalidCall{.status = 404, .reason = "unknown failure domain: " + domain->failureDomain},
                      respond);
@@ -158,6 +166,23 @@
     respond(response);
 }
 
+void ControlServer::answer(HttpRequest const &request, InvalidReport const &call,
+                           HttpResponder const &respond)
+{
+    Timestamp const now = IoRuntime::now();
+    this->refusals.update([&call](ReportRefusals counts) {
+        ++counts[call.field];
+        return counts;
+    });
+    std::string const reason = fmt::format("`{}` {}", call.field, call.reason);
+    if (now >= this->nextRefusalLine.load()) {
+        this->nextRefusalLine = now + refusalLineInterval;
+        this->report(Event::ReportRefused,
+                     fmt::format("path={} reason={}", quoteLogValue(request.path), quoteLogValue(reason)));
+    }
+    respond(errorResponse(400, reason));
+}
+
 // The response to a change or read that failed: a redirect if another replica leads, 413 if the
 // change is too large, otherwise 503, after which the client tries again.
 HttpResponse ControlServer::refusal(HttpRequest const &request, absl::Status const &status) const
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -41,21 +41,27 @@
 
 std::vector<MetricSample> sampleControl(ControlState const &state)
 {
-    return {sample(MetricKind::Gauge, "almondwing_configuration_version",
-                   "Version of the configuration applied here.", state.configurationVersion),
-            sample(MetricKind::Gauge, "almondwing_log_applied_index", "Last log entry applied here.",
-                   state.contact.status.appliedIndex),
-            sample(MetricKind::Gauge, "almondwing_log_term", "Term of the replicated log.",
-                   state.contact.status.term),
-            sample(MetricKind::Gauge, "almondwing_log_voters", "Voters of the replicated log.",
-                   state.contact.status.voters.size()),
-            sample(MetricKind::Gauge, "almondwing_log_leads", "1 while this instance leads the log.",
-                   state.contact.status.role == ReplicaRole::Leader ? 1 : 0),
-            sample(MetricKind::Gauge, "almondwing_log_in_contact",
-                   "1 while this instance is a leader with a majority or follows one.",
-                   state.contact.isInContact ? 1 : 0),
-            sample(MetricKind::Gauge, "almondwing_registry_targets",
-                   "Targets in the registry that have not ended.", state.targets)};
+    std::vector<MetricSample> samples{
+        sample(MetricKind::Gauge, "almondwing_configuration_version",
+               "Version of the configuration applied here.", state.configurationVersion),
+        sample(MetricKind::Gauge, "almondwing_log_applied_index", "Last log entry applied here.",
+               state.contact.status.appliedIndex),
+        sample(MetricKind::Gauge, "almondwing_log_term", "Term of the replicated log.",
+               state.contact.status.term),
+        sample(MetricKind::Gauge, "almondwing_log_voters", "Voters of the replicated log.",
+               state.contact.status.voters.size()),
+        sample(MetricKind::Gauge, "almondwing_log_leads", "1 while this instance leads the log.",
+               state.contact.status.role == ReplicaRole::Leader ? 1 : 0),
+        sample(MetricKind::Gauge, "almondwing_log_in_contact",
+               "1 while this instance is a leader with a majority or follows one.",
+               state.contact.isInContact ? 1 : 0),
+        sample(MetricKind::Gauge, "almondwing_registry_targets",
+               "Targets in the registry that have not ended.", state.targets)};
+    for (auto const &[field, count] : state.reportRefusals)
+        samples.push_back(sample(MetricKind::Counter, "almondwing_reports_refused_total",
+                                 "Heartbeats and deregistrations that no target sends, by the refused field.",
+                                 count, {{"field", field}}));
+    return samples;
 }
 
 std::vector<MetricSample> sampleLog(DecisionLog const &log)
--- a/Libraries/LibNode/NodeWire.cpp
+++ b/Libraries/LibNode/NodeWire.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 namespace almondwing {
 
@@ -28,6 +29,18 @@
                                     -maxMilliseconds, maxMilliseconds);
 }
 
+// Refuses numbers that the type can't hold. The JSON library would convert them to other numbers.
+template<typename Number>
+Number readNumber(Json const &json)
+{
+    bool const isInRange = json.is_number_unsigned()
+        ? std::in_range<Number>(json.get<std::uint64_t>())
+        : json.is_number_integer() && std::in_range<Number>(json.get<std::int64_t>());
+    if (!isInRange)
+        throw std::invalid_argument("not an integer of the expected range");
+    return json.get<Number>();
+}
+
 Duration fromMilliseconds(std::int64_t milliseconds)
 {
     if (milliseconds < -maxMilliseconds || milliseconds > maxMilliseconds)
@@ -108,20 +121,20 @@
 
 RegisteredTarget decodeTarget(Json const &json, Timestamp now)
 {
-    int const state = json.at(5).get<int>();
-    if (state < 0 || state > static_cast<int>(RegisteredState::Gone))
+    auto const state = readNumber<std::uint32_t>(json.at(5));
+    if (state > static_cast<std::uint32_t>(RegisteredState::Gone))
         throw std::invalid_argument("unknown state of target");
-    return RegisteredTarget{.number = TargetNumber{json.at(0).get<std::uint64_t>()},
+    return RegisteredTarget{.number = TargetNumber{readNumber<std::uint64_t>(json.at(0))},
                             .service = json.at(1).get<std::string>(),
                             .failureDomain = json.at(2).get<std::string>(),
                             .endpoint = decodeEndpoint(json.at(3)),
-                            .slots = json.at(4).get<std::uint32_t>(),
+                            .slots = readNumber<std::uint32_t>(json.at(4)),
                             .state = static_cast<RegisteredState>(state),
                             .reportVersion =
-                                ReportVersion{.startUnixMilliseconds = json.at(6).get<std::int64_t>(),
-                                              .sequence = json.at(7).get<std::uint64_t>()},
-                            .lastSeenAt = now - fromMilliseconds(json.at(8).get<std::int64_t>()),
-                            .coldUntil = now + fromMilliseconds(json.at(9).get<std::int64_t>())};
+                                ReportVersion{.startUnixMilliseconds = readNumber<std::int64_t>(json.at(6)),
+                                              .sequence = readNumber<std::uint64_t>(json.at(7))},
+                            .lastSeenAt = now - fromMilliseconds(readNumber<std::int64_t>(json.at(8))),
+                            .coldUntil = now + fromMilliseconds(readNumber<std::uint32_t>(json.at(9)))};
 }
 
 std::vector<RegisteredTarget> decodeTargets(Json const &json, Timestamp now)
@@ -144,8 +157,8 @@
 {
     std::vector<TargetActivity> activity;
     for (Json const &element : json)
-        activity.push_back(TargetActivity{.token = TargetToken{element.at(0).get<std::uint32_t>()},
-                                          .flows = element.at(1).get<std::uint32_t>()});
+        activity.push_back(TargetActivity{.token = TargetToken{readNumber<std::uint32_t>(element.at(0))},
+                                          .flows = readNumber<std::uint32_t>(element.at(1))});
     return activity;
 }
 
@@ -163,8 +176,8 @@
     for (Json const &element : json)
         loads.push_back(GroupLoad{
             .group = TargetGroup{element.at(0).get<std::string>(), element.at(1).get<std::string>()},
-            .flows = element.at(2).get<std::uint32_t>(),
-            .slots = element.at(3).get<std::uint32_t>()});
+            .flows = readNumber<std::uint32_t>(element.at(2)),
+            .slots = readNumber<std::uint32_t>(element.at(3))});
     return loads;
 }
 
@@ -173,10 +186,10 @@
     std::vector<RegisteredTarget> targets;
     for (Json const &element : json)
         targets.push_back(RegisteredTarget{
-            .number = TargetNumber{element.at(0).get<std::uint64_t>()},
-            .reportVersion = ReportVersion{.startUnixMilliseconds = element.at(1).get<std::int64_t>(),
-                                           .sequence = element.at(2).get<std::uint64_t>()},
-            .lastSeenAt = now - fromMilliseconds(element.at(3).get<std::int64_t>())});
+            .number = TargetNumber{readNumber<std::uint64_t>(element.at(0))},
+            .reportVersion = ReportVersion{.startUnixMilliseconds = readNumber<std::int64_t>(element.at(1)),
+                                           .sequence = readNumber<std::uint64_t>(element.at(2))},
+            .lastSeenAt = now - fromMilliseconds(readNumber<std::int64_t>(element.at(3)))});
     return targets;
 }
 
@@ -210,7 +223,7 @@
     FlowRoute route{.endpoint = decodeEndpoint(json.at(0))};
     for (Json const &service : json.at(1))
         route.services.push_back(
-            WeightedService{service.at(0).get<std::string>(), service.at(1).get<std::uint32_t>()});
+            WeightedService{service.at(0).get<std::string>(), readNumber<std::uint32_t>(service.at(1))});
     if (route.services.empty())
         throw std::invalid_argument("route without a service");
     return route;
@@ -232,15 +245,15 @@
 
 ConfigurationView decodeConfiguration(Json const &json)
 {
-    ConfigurationView view{.revision = json.at("revision").get<std::uint64_t>(),
+    ConfigurationView view{.revision = readNumber<std::uint64_t>(json.at("revision")),
                            .domainsTakenOut = json.at("taken_out").get<std::set<std::string>>()};
-    view.configuration.version = json.at("version").get<std::uint64_t>();
+    view.configuration.version = readNumber<std::uint64_t>(json.at("version"));
     for (Json const &route : json.at("routes"))
         view.configuration.routes.push_back(decodeRoute(route));
     if (json.contains("services")) // Absent in messages of earlier versions.
         view.configuration.services = json.at("services").get<std::set<std::string>>();
-    view.configuration.idleTimeout = fromMilliseconds(json.at("idle_ms").get<std::int64_t>());
-    view.configuration.coldPhase = fromMilliseconds(json.at("cold_ms").get<std::int64_t>());
+    view.configuration.idleTimeout = fromMilliseconds(readNumber<std::int64_t>(json.at("idle_ms")));
+    view.configuration.coldPhase = fromMilliseconds(readNumber<std::int64_t>(json.at("cold_ms")));
     return view;
 }
 
@@ -278,9 +291,9 @@
         ViewRequest request{
             .instance = json.at("instance").get<std::string>(),
             .failureDomain = json.at("failure_domain").get<std::string>(),
-            .bootId = json.at("boot").get<std::uint64_t>(),
-            .registryGeneration = json.at("registry").get<std::uint64_t>(),
-            .revision = json.at("revision").get<std::uint64_t>(),
+            .bootId = readNumber<std::uint64_t>(json.at("boot")),
+            .registryGeneration = readNumber<std::uint64_t>(json.at("registry")),
+            .revision = readNumber<std::uint64_t>(json.at("revision")),
             .isNewSource = json.contains("new"),
         };
         if (json.contains("activity"))
@@ -329,8 +342,8 @@
 {
     return parseJson(text, [now](Json const &json) {
         Json const emptyList = Json::array();
-        ViewReply reply{.bootId = json.at("boot").get<std::uint64_t>(),
-                        .registryGeneration = json.at("registry").get<std::uint64_t>(),
+        ViewReply reply{.bootId = readNumber<std::uint64_t>(json.at("boot")),
+                        .registryGeneration = readNumber<std::uint64_t>(json.at("registry")),
                         .extent = json.contains("full") ? RegistryExtent::Full : RegistryExtent::Delta,
                         .isRegistryComplete = json.at("complete").get<bool>(),
                         .isInContact = json.at("contact").get<bool>(),
@@ -342,7 +355,7 @@
         if (json.contains("configuration"))
             reply.configuration = decodeConfiguration(json.at("configuration"));
         for (Json const &number : json.value("overdue", emptyList))
-            reply.overdue.push_back(TargetNumber{number.get<std::uint64_t>()});
+            reply.overdue.push_back(TargetNumber{readNumber<std::uint64_t>(number)});
         return reply;
     });
 }
@@ -369,7 +382,7 @@
     return parseJson(text, [now](Json const &json) {
         RegistryExchange exchange{.from = decodeEndpoint(json.at("from")),
                                   .failureDomain = json.at("failure_domain").get<std::string>(),
-                                  .bootId = json.at("boot").get<std::uint64_t>(),
+                                  .bootId = readNumber<std::uint64_t>(json.at("boot")),
                                   .peers = decodePeers(json.at("peers")),
                                   .targets = decodeTargets(json.at("targets"), now),
                                   .heartbeats = decodeHeartbeats(json.at("heard"), now),
@@ -377,7 +390,7 @@
         for (Json const &peer : json.at("hears"))
             exchange.reachablePeers.push_back(decodeEndpoint(peer));
         if (json.contains("receiver_boot"))
-            exchange.receiverBootId = json.at("receiver_boot").get<std::uint64_t>();
+            exchange.receiverBootId = readNumber<std::uint64_t>(json.at("receiver_boot"));
         return exchange;
     });
 }
@@ -393,9 +406,9 @@
 absl::StatusOr<RegistryExchangeReply> parseRegistryExchangeReply(std::string_view text)
 {
     return parseJson(text, [](Json const &json) {
-        RegistryExchangeReply reply{.bootId = json.at("boot").get<std::uint64_t>()};
+        RegistryExchangeReply reply{.bootId = readNumber<std::uint64_t>(json.at("boot"))};
         for (Json const &number : json.value("missing", Json::array())) // Absent if there are none.
-            reply.missing.push_back(TargetNumber{number.get<std::uint64_t>()});
+            reply.missing.push_back(TargetNumber{readNumber<std::uint64_t>(number)});
         return reply;
     });
 }
--- a/Libraries/LibRegistry/RegisteredTarget.h
+++ b/Libraries/LibRegistry/RegisteredTarget.h
@@ -6,6 +6,8 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Time.h>
 
+#include <absl/status/status.h>
+
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -39,13 +41,15 @@
     friend constexpr auto operator<=>(ReportVersion, ReportVersion) = default;
 };
 
+constexpr std::uint32_t maxSlots = 65'536;
+
 struct RegisteredTarget
 {
     TargetNumber number;
     std::string service;
     std::string failureDomain;
     Endpoint endpoint;
-    std::uint32_t slots = 1; // The number of requests that it processes concurrently; at least 1.
+    std::uint32_t slots = 1; // The number of requests that it processes concurrently; 1 to maxSlots.
     RegisteredState state = RegisteredState::Ready;
     ReportVersion reportVersion;
     // When the latest heartbeat reached any control instance, or when the target was marked Gone, in local
@@ -60,6 +64,12 @@
     friend bool operator==(RegisteredTarget const &, RegisteredTarget const &) = default;
 };
 
+// What every record must fulfil, whether it comes from a heartbeat, another instance or a stored copy:
+// number, service, failure domain, endpoint, start and sequence are set, and the slots are in their range.
+// Returns InvalidArgument that names the member otherwise. Such a record is not from a target and must not be
+// used.
+absl::Status checkRecord(RegisteredTarget const &target);
+
 } // namespace almondwing
 
 template<>
--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -32,6 +32,8 @@
 
 MergeOutcome TargetRegistry::merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter)
 {
+    if (!this->mayBeUsed(report).ok())
+        return MergeOutcome::Unchanged;
     if (report.state == RegisteredState::Gone)
         return this->markGone(report.number, report.reportVersion.startUnixMilliseconds, now);
     // A report that was delayed until another target had taken over the endpoint, or one of another writer.
@@ -43,6 +45,15 @@
     return outcome;
 }
 
+absl::Status TargetRegistry::mayBeUsed(RegisteredTarget const &report) const
+{
+    if (absl::Status status = checkRecord(report); !status.ok())
+        return status;
+    if (!this->hooks.isDomainKnown(report.failureDomain))
+        return absl::InvalidArgumentError("unknown failure domain: " + report.failureDomain);
+    return absl::OkStatus();
+}
+
 MergeOutcome TargetRegistry::commitChange(std::function<MergeOutcome(std::uint64_t generation)> const &change)
 {
     std::scoped_lock const lock(this->changeMutex);
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -81,6 +81,11 @@
     std::function<bool(std::string const &service)> isServiceDefined = [](std::string const &) {
         return true;
     };
+    // Whether the failure domain belongs to the deployment. A record that names another one is not from a
+    // target of the deployment and is not stored.
+    std::function<bool(std::string const &failureDomain)> isDomainKnown = [](std::string const &) {
+        return true;
+    };
 };
 
 class TargetRegistry
@@ -91,7 +96,8 @@
     {
     }
 
-    // Merges a heartbeat or a record of another instance, if not outdated. State Gone acts like markGone().
+    // Merges a heartbeat, a stored record or a record of another instance, if it is not outdated and names a
+    // target that may be used (see mayBeUsed()). State Gone acts like markGone().
     MergeOutcome merge(RegisteredTarget const &report, Timestamp now, Endpoint reporter = {});
 
     // Merges a heartbeat without a change that another instance relays. The result is UnknownRun if the
@@ -105,6 +111,10 @@
     // returns to service. The next report of a target that merge() stores replaces this time.
     void markCold(std::string const &failureDomain, Timestamp until);
 
+    // Returns InvalidArgument if the record is not valid (see checkRecord()) or its failure domain is
+    // unknown.
+    absl::Status mayBeUsed(RegisteredTarget const &report) const;
+
     // Removes records whose retention has ended.
     void removeExpired(Timestamp now);
 
--- a/Tests/LibNode/NodeWireTest.cpp
+++ b/Tests/LibNode/NodeWireTest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(namesWithSpecialCharactersRoundTrip);
     CPPUNIT_TEST(registryExchangeRoundTrips);
     CPPUNIT_TEST(missingRecordsRoundTrip);
+    CPPUNIT_TEST(numbersOutOfRangeAreRejected);
     CPPUNIT_TEST(truncatedMessagesAreRejected);
     CPPUNIT_TEST(invalidFieldsAreRejected);
     CPPUNIT_TEST(longDurationsAreAccepted);
@@ -156,6 +157,21 @@
         CPPUNIT_ASSERT(parseRegistryExchangeReply(R"({"boot":4})")->missing.empty());
     }
 
+    // Guards against numbers that become other numbers, such as -1 slots, and against undefined conversions.
+    void numbersOutOfRangeAreRejected()
+    {
+        std::string const valid = R"([[1,"o","d","1.2.3.4:1",2,0,5,6,7,8]])";
+        CPPUNIT_ASSERT(parseTargets(valid, receiverNow).ok());
+        for (char const *const text :
+             {R"([[-1,"o","d","1.2.3.4:1",2,0,5,6,7,8]])", R"([[1.5,"o","d","1.2.3.4:1",2,0,5,6,7,8]])",
+              R"([[1,"o","d","1.2.3.4:1",4294967296,0,5,6,7,8]])",
+              R"([[1,"o","d","1.2.3.4:1",-2,0,5,6,7,8]])", R"([[1,"o","d","1.2.3.4:1",2,3,5,6,7,8]])",
+              R"([[1,"o","d","1.2.3.4:1",2,0,1e300,6,7,8]])",
+              R"([[1,"o","d","1.2.3.4:1",2,0,5,18446744073709551616,7,8]])",
+              R"([[1,"o","d","1.2.3.4:1",2,0,5,6,7,-8]])"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parseTargets(text, receiverNow).ok());
+    }
+
     void truncatedMessagesAreRejected()
     {
         std::string const text = formatViewReply(sampleReply(), senderNow);
--- a/Tests/LibNode/PropagationTest.cpp
+++ b/Tests/LibNode/PropagationTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(newProcessReceivesWholeRegistry);
     CPPUNIT_TEST(heartbeatForUndefinedServiceEndsNoTarget);
     CPPUNIT_TEST(ignoredDrainIsNotStored);
+    CPPUNIT_TEST(reportOfUnknownDomainIsRefusedAndCounted);
     CPPUNIT_TEST(unchangedViewReplyIsEmpty);
     CPPUNIT_TEST(invalidInputIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -147,6 +148,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.events.count(Event::EndAnswered));
     }
 
+    // Guards against a writer of such reports that fills the log.
+    void reportOfUnknownDomainIsRefusedAndCounted()
+    {
+        NodeFixture fixture(1);
+        RegisteredTarget target = reportedTarget(7, 1, RegisteredState::Ready);
+        target.failureDomain = "dar-x";
+        for (int attempt = 0; attempt < 3; ++attempt)
+            CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, "/heartbeat", heartbeatOf(target)).status);
+        ControlServer &server = *fixture.controlInstances.front()->server;
+        CPPUNIT_ASSERT(server.state().reportRefusals == (ReportRefusals{{"record", 3}}));
+        CPPUNIT_ASSERT(fixture.events.count(Event::ReportRefused) >= 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.state().targets);
+
+        // After the settings name the failure domain, its targets are used.
+        server.addFailureDomains({"dar-x"});
+        CPPUNIT_ASSERT(fixture.call(0, "/heartbeat", heartbeatOf(target)).isSuccess());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.state().targets);
+    }
+
     void unchangedViewReplyIsEmpty()
     {
         NodeFixture fixture(1);
--- a/Tests/LibNode/ViewServerTest.cpp
+++ b/Tests/LibNode/ViewServerTest.cpp
@@ -45,6 +45,7 @@
                                               .service = "orders",
                                               .failureDomain = "dar-a",
                                               .endpoint = Endpoint{.address = 1, .port = this->targets},
+                                              .reportVersion = {.startUnixMilliseconds = 1, .sequence = 1},
                                               .lastSeenAt = now},
                              now);
         this->viewServer.answerDue(now);
@@ -139,13 +140,14 @@
         while (this->targets < targetCount)
             this->addTarget(later);
         // A target at the address of another one ends that one.
-        this->registry.merge(RegisteredTarget{.number = TargetNumber{9999},
-                                              .service = "orders",
-                                              .failureDomain = "dar-a",
-                                              .endpoint = Endpoint{.address = 1, .port = 1},
-                                              .reportVersion = ReportVersion{.startUnixMilliseconds = 1},
-                                              .lastSeenAt = later},
-                             later);
+        this->registry.merge(
+            RegisteredTarget{.number = TargetNumber{9999},
+                             .service = "orders",
+                             .failureDomain = "dar-a",
+                             .endpoint = Endpoint{.address = 1, .port = 1},
+                             .reportVersion = ReportVersion{.startUnixMilliseconds = 2, .sequence = 1},
+                             .lastSeenAt = later},
+            later);
         std::map<TargetNumber, RegisteredState> received;
         ViewRequest request{.instance = "entry", .failureDomain = "dar-a"};
         for (int parts = 0; request.registryGeneration < this->registry.changeGeneration(); ++parts) {
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(repeatedRecordIsNoHeartbeat);
     CPPUNIT_TEST(heartbeatIsNoRoutingChange);
     CPPUNIT_TEST(relayedHeartbeatNeedsKnownRun);
+    CPPUNIT_TEST(invalidRecordsAreNotStored);
+    CPPUNIT_TEST(recordOfUnknownDomainIsNotStored);
     CPPUNIT_TEST(markedTargetsAreColdUntilNextHeartbeat);
     CPPUNIT_TEST(silentTargetIsOverdue);
     CPPUNIT_TEST(copiesConvergeInAnyOrder);
@@ -287,6 +289,40 @@
         CPPUNIT_ASSERT(this->registry.mergeHeartbeat(relayed, start + 10s, peer) == MergeOutcome::Unchanged);
     }
 
+    // Guards against a target that is used although its record comes from a writer that is not a target, an
+    // earlier version or a damaged copy.
+    void invalidRecordsAreNotStored()
+    {
+        RegisteredTarget const valid = targetAt(1, 100, 5);
+        std::vector<RegisteredTarget> records(8, valid);
+        records[0].number = TargetNumber{};
+        records[1].service.clear();
+        records[2].failureDomain.clear();
+        records[3].endpoint.port = 0;
+        records[4].endpoint.address = 0;
+        records[5].slots = 0;
+        records[6].reportVersion.startUnixMilliseconds = 0;
+        records[7].reportVersion.sequence = 0;
+        for (RegisteredTarget const &record : records) {
+            CPPUNIT_ASSERT(!checkRecord(record).ok());
+            CPPUNIT_ASSERT(this->registry.merge(record, start) == MergeOutcome::Unchanged);
+        }
+        CPPUNIT_ASSERT(this->registry.all().empty());
+        CPPUNIT_ASSERT(this->registry.merge(valid, start) == MergeOutcome::Changed);
+    }
+
+    void recordOfUnknownDomainIsNotStored()
+    {
+        bool isKnown = false;
+        TargetRegistry domains(
+            RegistrySettings{},
+            TargetRegistryHooks{.isDomainKnown = [&isKnown](std::string const &) { return isKnown; }});
+        CPPUNIT_ASSERT(domains.merge(targetAt(1, 100, 5), start) == MergeOutcome::Unchanged);
+        CPPUNIT_ASSERT(!domains.mayBeUsed(targetAt(1, 100, 5)).ok());
+        isKnown = true;
+        CPPUNIT_ASSERT(domains.merge(targetAt(1, 100, 5), start) == MergeOutcome::Changed);
+    }
+
     void markedTargetsAreColdUntilNextHeartbeat()
     {
         this->registry.merge(targetAt(1, 100, 5), start);
