LibNode: Let an entry without a view try all control instances at once

Callers saw: after all machines had lost power, entries that were back forwarded nothing for another 0.3 to 0.6 s.

They tried the seeds one after the other, 150 ms for each machine without power.

Change: an entry without any view tries the candidates at the same time, each with short tries until one accepts a connection, the preferred one first. SourceSearch decides this and does no input or output. A candidate that accepts but does not answer is not preferred in the next search.

--- a/Libraries/LibNode/ViewClient.cpp
+++ b/Libraries/LibNode/ViewClient.cpp
@@ -3,6 +3,7 @@
 #include <LibNode/ViewClient.h>
 
 #include <LibFrontEnd/DecisionLog.h>
+#include <LibFrontEnd/ListenerCheck.h>
 
 #include <fmt/format.h>
 
@@ -89,13 +90,62 @@
     auto const endpoints = this->candidates();
     if (endpoints.empty())
         return;
-    Endpoint const chosen = endpoints[this->nextCandidate++ % endpoints.size()];
-    this->source = Source{.endpoint = chosen,
-                          .link = std::make_shared<HttpConnection>(this->runtime, chosen),
-                          .position = this->positions[chosen]};
+    this->follow(endpoints[this->nextCandidate++ % endpoints.size()]);
+}
+
+void ViewClient::follow(Endpoint endpoint)
+{
+    this->source = Source{.endpoint = endpoint,
+                          .link = std::make_shared<HttpConnection>(this->runtime, endpoint),
+                          .position = this->positions[endpoint]};
     this->contactTimeout.reset();
 }
 
+void ViewClient::continueSearch()
+{
+    Timestamp const now = IoRuntime::now();
+    if (!this->search.isRunning()) {
+        // The next search prefers another candidate, because one that accepts connections may not answer.
+        auto endpoints = this->candidates();
+        if (endpoints.empty()) {
+            this->scheduleRequest();
+            return;
+        }
+        std::rotate(endpoints.begin(),
+                    endpoints.begin() + static_cast<std::ptrdiff_t>(this->nextCandidate++ % endpoints.size()),
+                    endpoints.end());
+        this->search.begin(endpoints, now);
+    }
+    for (Endpoint const candidate : this->search.takeDue(now))
+        checkListener(this->runtime, candidate, this->search.tryTimeout(),
+                      [this, candidate](ListenerState state) {
+                          this->queue.post([this, candidate, state] {
+                              this->handleSearchResult(candidate, state == ListenerState::Accepted);
+                          });
+                      });
+    auto const next = this->search.nextDue();
+    if (!next || this->isSearchScheduled)
+        return;
+    this->isSearchScheduled = true;
+    this->runtime.runAfter(*next - now, [this] {
+        this->queue.post([this] {
+            this->isSearchScheduled = false;
+            if (this->search.isRunning())
+                this->continueSearch();
+        });
+    });
+}
+
+void ViewClient::handleSearchResult(Endpoint candidate, bool isAccepted)
+{
+    if (this->search.handleResult(candidate, isAccepted, IoRuntime::now())) {
+        this->follow(candidate);
+        this->sendRequest();
+    } else if (this->search.isRunning()) {
+        this->continueSearch();
+    }
+}
+
 void ViewClient::dropSource(std::string const &reason)
 {
     if (!this->source)
@@ -107,6 +157,10 @@
 
 void ViewClient::sendRequest()
 {
+    if (!this->source && !this->configuration) {
+        this->continueSearch();
+        return;
+    }
     this->chooseSource();
     if (!this->source) {
         this->scheduleRequest();
--- a/Libraries/LibNode/ViewClient.h
+++ b/Libraries/LibNode/ViewClient.h
@@ -1,6 +1,7 @@
 // Keeps the view of an entry (configuration, failure domains out of service, targets) up to date. It polls
 // one control instance, called the source, and prefers those of its own failure domain. It tries one after
-// the other until it finds one that is in contact with a majority.
+// the other until it finds one that is in contact with a majority. While it has no view at all, it tries all
+// of them at the same time and follows the first one that accepts a connection.
 
 #pragma once
 
@@ -8,6 +9,7 @@
 #include <LibFrontEnd/HttpConnection.h>
 #include <LibNode/ContactTimeout.h>
 #include <LibNode/NodeWire.h>
+#include <LibNode/SourceSearch.h>
 #include <LibRegistry/PeerDirectory.h>
 #include <LibRegistry/TargetRegistry.h>
 #include <LibSettings/NodeSettings.h>
@@ -78,6 +80,9 @@
     void handleReply(absl::StatusOr<HttpResponse> const &response, Timestamp sentAt);
     void apply(ViewReply const &reply, Timestamp sentAt, Timestamp now);
     void chooseSource();
+    void follow(Endpoint endpoint);
+    void continueSearch();
+    void handleSearchResult(Endpoint candidate, bool isAccepted);
     void dropSource(std::string const &reason);
     void publishView(Timestamp now);
     std::vector<Endpoint> candidates() const;
@@ -97,6 +102,8 @@
     std::optional<Source> source;
     std::map<Endpoint, Position> positions; // Of all former sources, to continue there after a switch back.
     std::size_t nextCandidate = 0;
+    SourceSearch search;
+    bool isSearchScheduled = false; // continueSearch() is called when the next try is due.
     ContactTimeout contactTimeout;
     Timestamp nextActivityReport; // The earliest time of the next report of flows, unless the source is new.
     std::optional<ConfigurationView> configuration; // Its revision never decreases.
