LibEvidence: Let targets of a silent failure domain confirm each other

Cause: an unanswered check of a target counts only with two silent flows, and an entry has one flow or none at each of 38 targets.

Change: unanswered checks of different targets of one failure domain within a second confirm each other while none of its targets answers this entry. The entry then places no flows there for a second and checks the targets with waiting flows, whose callers may have nothing to retransmit. The state is local and soft; each reset still needs a failed check by the same entry. Flows that retransmit in turn are counted once.

--- a/Libraries/LibTokenRouting/PassiveHealth.cpp
+++ b/Libraries/LibTokenRouting/PassiveHealth.cpp
@@ -21,8 +21,7 @@
         next.lastAliveAt = std::max(next.lastAliveAt, now);
         next.suspectUntil = Timestamp{};
         next.unreachableUntil = Timestamp{};
-        next.silentFlows = 0;
-        next.lastSilentFlowHash = 0;
+        next.silentFlows.fill(0);
         return next;
     });
 }
@@ -71,7 +70,7 @@
         });
     if (isAlive) {
         markAlive(board, packet.token, now);
-        return PacketObservation{.establishedAfter = establishedAfter};
+        return PacketObservation{.isAnswered = true, .establishedAfter = establishedAfter};
     }
     TargetHealth const health = board.healthOf(packet.token);
     bool const wasAliveBefore = health.lastAliveAt + settings.aliveWindow >= firstSentAt;
@@ -95,9 +94,10 @@
     board.targetHealth.update(token, [&](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
         TargetHealth next = health.value_or(TargetHealth{});
         next.suspectUntil = std::max(next.suspectUntil, now + settings.suspectDuration);
-        if (next.lastSilentFlowHash != flowHash)
-            ++next.silentFlows;
-        next.lastSilentFlowHash = flowHash;
+        bool const isKnown = std::ranges::find(next.silentFlows, flowHash) != next.silentFlows.end();
+        auto const free = std::ranges::find(next.silentFlows, 0U);
+        if (!isKnown && free != next.silentFlows.end())
+            *free = flowHash;
         return next;
     });
 }
@@ -112,7 +112,9 @@
 {
     board.targetHealth.update(token, [&](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
         TargetHealth next = health.value_or(TargetHealth{});
-        bool const isSilenceConfirmed = next.silentFlows >= settings.minSilentFlows
+        std::size_t const silentFlows =
+            next.silentFlows.size() - static_cast<std::size_t>(std::ranges::count(next.silentFlows, 0U));
+        bool const isSilenceConfirmed = silentFlows >= settings.minSilentFlows
             || (heartbeats == HeartbeatState::Stopped && !isRecentlyAlive(next, settings, now));
         if (result == CheckResult::Accepted)
             next.unreachableUntil = Timestamp{};
@@ -122,4 +124,14 @@
     });
 }
 
+void markUnreachable(TokenBlackboard &board, TargetToken token, PassiveHealthSettings const &settings,
+                     Timestamp now)
+{
+    board.targetHealth.update(token, [&](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
+        TargetHealth next = health.value_or(TargetHealth{});
+        next.unreachableUntil = now + settings.unreachableDuration;
+        return next;
+    });
+}
+
 } // namespace almondwing
--- a/Libraries/LibTokenRouting/PassiveHealth.h
+++ b/Libraries/LibTokenRouting/PassiveHealth.h
@@ -25,7 +25,8 @@
     Duration unreachableDuration = 700ms;
     // A check without an answer counts only if at least this many flows got no answer either, because a
     // single packet may have been lost. See recordCheckResult() for the exception.
-    std::uint32_t minSilentFlows = 2;
+    std::size_t minSilentFlows = 2; // At most the size of SilentFlows.
+    DomainSilenceSettings domainSilence; // Confirms the silence of several targets of one failure domain.
 
     friend bool operator==(PassiveHealthSettings const &, PassiveHealthSettings const &) = default;
 };
@@ -36,6 +37,7 @@
 {
     // Suspect if the packet shows that the target does not answer.
     HealthVerdict verdict = HealthVerdict::None;
+    bool isAnswered = false; // The packet acknowledges a new answer of the target.
     std::optional<Duration> establishedAfter; // Set for the first packet after the opening packet.
 
     friend bool operator==(PacketObservation const &, PacketObservation const &) = default;
@@ -68,6 +70,10 @@
 void recordCheckResult(TokenBlackboard &board, TargetToken token, CheckResult result,
                        HeartbeatState heartbeats, PassiveHealthSettings const &settings, Timestamp now);
 
+// Marks a target whose silence other evidence confirms.
+void markUnreachable(TokenBlackboard &board, TargetToken token, PassiveHealthSettings const &settings,
+                     Timestamp now);
+
 // Whether an answer of the target was recently observed through this instance.
 bool isRecentlyAlive(TargetHealth const &health, PassiveHealthSettings const &settings, Timestamp now);
 
--- a/Libraries/LibTokenRouting/TokenBlackboard.cpp
+++ b/Libraries/LibTokenRouting/TokenBlackboard.cpp
@@ -12,6 +12,11 @@
 // A flow counts as active while its last packet is not older than this.
 constexpr Duration activeWindow = 3s;
 
+bool isUnanswered(RecentFlow const &flow)
+{
+    return flow.isEstablished && flow.sequenceFirstSeen > flow.lastAnsweredAt;
+}
+
 void setRemoteFlows(TokenBlackboard &board, TargetToken token, std::uint32_t flows)
 {
     board.targetHealth.update(token, [&](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
@@ -31,12 +36,21 @@
     return entry ? entry->value : TargetHealth{};
 }
 
+std::set<TargetToken> targetsWithUnansweredFlows(TokenBlackboard const &board)
+{
+    std::set<TargetToken> tokens;
+    board.flows.forEach([&](ConnectionKey const &, RecentFlow const &flow) {
+        if (isUnanswered(flow))
+            tokens.insert(flow.target);
+    });
+    return tokens;
+}
+
 std::vector<FlowPacket> unansweredFlows(TokenBlackboard const &board, TargetToken token)
 {
     std::vector<FlowPacket> flows;
     board.flows.forEach([&](ConnectionKey const &key, RecentFlow const &flow) {
-        bool const isWaiting = flow.isEstablished && flow.sequenceFirstSeen > flow.lastAnsweredAt;
-        if (flow.target == token && isWaiting)
+        if (flow.target == token && isUnanswered(flow))
             flows.push_back(FlowPacket{.flow = key,
                                        .token = token,
                                        .sequence = flow.sequence,
--- a/Libraries/LibTokenRouting/TokenBlackboard.h
+++ b/Libraries/LibTokenRouting/TokenBlackboard.h
@@ -5,11 +5,14 @@
 
 #include <LibBlackboard/Cell.h>
 #include <LibBlackboard/ShardedTable.h>
+#include <LibEvidence/DomainSilence.h>
 #include <LibTokenRouting/ServingView.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,9 @@
     friend bool operator==(RecentFlow const &, RecentFlow const &) = default;
 };
 
+// The hash of a flow is not 0 in practice, so 0 stands for none. More silent flows are no further evidence.
+using SilentFlows = std::array<std::uint64_t, 4>;
+
 // The health and load of a target, derived from the packets through this instance, direct checks, and reports
 // of other instances.
 struct TargetHealth
@@ -43,8 +49,7 @@
     Timestamp lastColdFlowAt; // When the target last got a flow while it was cold.
     Timestamp lastCheckedAt; // When the last direct check was started.
     Timestamp unreachableUntil; // Set by a failed direct check, which is disregarded from this time on.
-    std::uint32_t silentFlows = 0; // Unanswered flows since lastAliveAt; alternating ones count repeatedly.
-    std::uint64_t lastSilentFlowHash = 0; // Hash of the flow that was last added to silentFlows.
+    SilentFlows silentFlows{}; // Hashes of different flows without an answer since lastAliveAt.
 
     bool isUnreachableAt(Timestamp now) const { return now < this->unreachableUntil; }
     bool isSuspectAt(Timestamp now) const { return now < this->suspectUntil || this->isUnreachableAt(now); }
@@ -80,6 +85,7 @@
     Cell<ServingView> view;
     ShardedTable<ConnectionKey, RecentFlow, 16> flows;
     ShardedTable<TargetToken, TargetHealth, 16> targetHealth;
+    DomainSilenceTable domainSilence;
     Cell<LoadPerSlot> loadPerSlot; // From the latest report of a control instance.
 
     TargetHealth healthOf(TargetToken token) const;
@@ -88,6 +94,9 @@
 // Returns the flows of the target whose latest data has not been answered yet.
 std::vector<FlowPacket> unansweredFlows(TokenBlackboard const &board, TargetToken token);
 
+// Returns the targets with such flows.
+std::set<TargetToken> targetsWithUnansweredFlows(TokenBlackboard const &board);
+
 struct TargetActivity
 {
     TargetToken token;
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -2,6 +2,9 @@
 
 #include <LibTokenRouting/TokenRouter.h>
 
+#include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace almondwing {
@@ -98,6 +101,8 @@
     PacketObservation const observation = observeDataPacket(this->board, packet, this->healthSettings, now);
     if (observation.establishedAfter)
         this->hooks.flowEstablished(packet, *target, *observation.establishedAfter);
+    if (observation.isAnswered)
+        recordDomainAnswer(this->board.domainSilence, target->target.failureDomain, now);
     if (observation.verdict == HealthVerdict::Suspect)
         this->markSuspectAndCheck(*target, packet.flow, now);
     else if (packet.length > 0 && this->hasStoppedResponding(view, *target, now))
@@ -111,23 +116,70 @@
 
 std::vector<FlowPacket> TokenRouter::recordCheckResult(TargetToken token, CheckResult result, Timestamp now)
 {
-    HeartbeatState const heartbeats = this->board.view.select([token](ServingView const &view) {
-        ViewTarget const *const target = view.targetOf(token);
-        return target != nullptr && view.hasStoppedHeartbeats(*target) ? HeartbeatState::Stopped
-                                                                       : HeartbeatState::Current;
-    });
+    auto const view = this->board.view.read();
+    ViewTarget const *const target = view->targetOf(token);
+    HeartbeatState const heartbeats = target != nullptr && view->hasStoppedHeartbeats(*target)
+        ? HeartbeatState::Stopped
+        : HeartbeatState::Current;
     almondwing::recordCheckResult(this->board, token, result, heartbeats, this->healthSettings, now);
-    if (!this->board.healthOf(token).isUnreachableAt(now))
-        return {};
-    return unansweredFlows(this->board, token);
+    std::vector<TargetToken> unreachable;
+    if (target != nullptr && result == CheckResult::Accepted)
+        recordDomainAnswer(this->board.domainSilence, target->target.failureDomain, now);
+    else if (target != nullptr && result == CheckResult::NoAnswer)
+        unreachable = this->confirmSilence(*view, *target, now);
+    if (this->board.healthOf(token).isUnreachableAt(now)
+        && std::ranges::find(unreachable, token) == unreachable.end())
+        unreachable.push_back(token);
+    std::vector<FlowPacket> waiting;
+    for (TargetToken const silent : unreachable)
+        std::ranges::copy(unansweredFlows(this->board, silent), std::back_inserter(waiting));
+    return waiting;
+}
+
+std::vector<TargetToken> TokenRouter::confirmSilence(ServingView const &view, ViewTarget const &target,
+                                                     Timestamp now)
+{
+    std::string const &domain = target.target.failureDomain;
+    SilenceVerdict const verdict = recordSilentCheck(this->board.domainSilence, domain, target.target.number,
+                                                     this->healthSettings.domainSilence, now);
+    std::vector<TargetToken> tokens;
+    for (TargetNumber const number : verdict.targets) {
+        tokens.push_back(tokenOf(number));
+        markUnreachable(this->board, tokens.back(), this->healthSettings, now);
+    }
+    if (verdict.isNew)
+        this->leaveSilentDomain(view, domain, now);
+    return tokens;
+}
+
+void TokenRouter::leaveSilentDomain(ServingView const &view, std::string const &failureDomain, Timestamp now)
+{
+    std::set<TargetToken> const waiting = targetsWithUnansweredFlows(this->board);
+    Timestamp const suspectUntil = now + this->healthSettings.suspectDuration;
+    for (auto const &[token, target] : view.targets) {
+        if (target.target.failureDomain != failureDomain)
+            continue;
+        this->board.targetHealth.update(
+            token, [suspectUntil](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
+                TargetHealth next = health.value_or(TargetHealth{});
+                next.suspectUntil = std::max(next.suspectUntil, suspectUntil);
+                return next;
+            });
+        if (waiting.contains(token))
+            this->checkIfDue(target, now);
+    }
 }
 
 // Covers the loss of a whole failure domain while most of its targets have only one flow each through this
 // instance, so that no second flow can confirm that they do not answer.
 bool TokenRouter::hasStoppedResponding(ServingView const &view, ViewTarget const &target, Timestamp now) const
 {
-    return view.hasStoppedHeartbeats(target)
-        && !isRecentlyAlive(this->board.healthOf(target.token), this->healthSettings, now);
+    if (view.hasStoppedHeartbeats(target))
+        return !isRecentlyAlive(this->board.healthOf(target.token), this->healthSettings, now);
+    return this->board.domainSilence.containsWhere(
+        target.target.failureDomain, [this, now](DomainSilence const &silence) {
+            return silence.isSilentAt(now, this->healthSettings.domainSilence);
+        });
 }
 
 void TokenRouter::markSuspectAndCheck(ViewTarget const &target, ConnectionKey const &flow, Timestamp now)
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -33,18 +33,25 @@
     void permitColdFlows(Timestamp until);
 
     // Records the result of a direct check that was requested with checkTarget. If the target is unreachable,
-    // returns its flows that wait for an answer. They are to be reset now, because their callers would
-    // otherwise learn of it only at their next retransmission.
+    // returns its flows that wait for an answer, and those of other targets whose silence it confirms. They
+    // are to be reset now, because their callers would otherwise learn of it only at their next
+    // retransmission.
     std::vector<FlowPacket> recordCheckResult(TargetToken token, CheckResult result, Timestamp now);
 
 private:
     PacketDecision decideOpen(ServingView const &view, FlowPacket const &packet, Timestamp now);
     PacketDecision decideSubsequent(ServingView const &view, FlowPacket const &packet, Timestamp now);
-    // Whether the target has stopped both its heartbeats and its answers, so that a single flow suffices for
-    // a check.
+    // Whether the target has stopped both its heartbeats and its answers, or its failure domain is silent, so
+    // that a single flow suffices for a check.
     bool hasStoppedResponding(ServingView const &view, ViewTarget const &target, Timestamp now) const;
     void markSuspectAndCheck(ViewTarget const &target, ConnectionKey const &flow, Timestamp now);
     void checkIfDue(ViewTarget const &target, Timestamp now);
+    // Evaluates a check without an answer together with those of other targets of the failure domain. Returns
+    // the targets whose silence is confirmed.
+    std::vector<TargetToken> confirmSilence(ServingView const &view, ViewTarget const &target, Timestamp now);
+    // Keeps new flows away from a failure domain that has fallen silent, and checks its targets with flows
+    // that wait, because their callers may have nothing to retransmit.
+    void leaveSilentDomain(ServingView const &view, std::string const &failureDomain, Timestamp now);
 
     TokenBlackboard &board;
     PassiveHealthSettings healthSettings;
