LibTokenRouting: Repeat openings at another target when theirs is gone

Operators want the slowest answers cut where requests may be repeated, within a limit that they set. An entry can't repeat what is inside a flow, so the opening is what is repeated.

Change: an opening of a repeatable route without an answer after three times the 95th percentile of the service's openings (20 to 80 ms) leads to a check of its target; only if that fails is the opening sent to another one, before the caller retransmits it after 200 ms. `repeat_percent` limits this to a share of the openings of each service; 0, the default, turns it off. Nothing is repeated while the whole service is slow. Metrics and the event OpeningRepeated show it.

--- a/Libraries/LibCore/EventCatalogue.cpp
+++ b/Libraries/LibCore/EventCatalogue.cpp
@@ -206,6 +206,9 @@
                      "Look at the control instances if the count keeps growing."},
     EventDescription{Event::FlowEstablished, Severity::Information, "FlowEstablished",
                      "The first packet after the opening packet of a flow was forwarded.", "None."},
+    EventDescription{Event::OpeningRepeated, Severity::Information, "OpeningRepeated",
+                     "An opening without an answer was sent to another target, because its target is gone.",
+                     "None."},
 };
 
 } // namespace
--- a/Libraries/LibCore/EventCatalogue.h
+++ b/Libraries/LibCore/EventCatalogue.h
@@ -76,6 +76,7 @@
     PacketDropped = 1502,
     PacketHeld = 1503,
     FlowEstablished = 1504,
+    OpeningRepeated = 1505,
 };
 
 struct EventDescription
--- a/Libraries/LibNode/EntryNode.cpp
+++ b/Libraries/LibNode/EntryNode.cpp
@@ -29,6 +29,8 @@
 // tries again at this interval until its time is over.
 constexpr Duration listenerRetryInterval = 40ms;
 
+constexpr RepeatedCheck targetCheck{.timeout = listenerTimeout, .retryInterval = listenerRetryInterval};
+
 // The fabric checks readiness twice a second and stops sending after two failures. The rest of the time is
 // for packets in transit.
 constexpr Duration minDrainTime = 2500ms;
@@ -64,7 +66,8 @@
                               .flowEstablished =
                                   [this](FlowPacket const &packet, ViewTarget const &target, Duration after) {
                                       this->reportEstablished(packet, target, after);
-                                  }}),
+                                  }},
+             RepeatSettings{.share = settings.repeatPercent / 100}),
       heldPackets(HeldPacketLimits{}),
       viewClient(
           ioRuntime, settings, blackboard,
@@ -178,6 +181,42 @@
                      fmt::format("{} target={:x} endpoint={} token={:x} copy={}", this->describeFlow(packet),
                                  decision.target.value, decision.endpoint.toString(), decision.token.value,
                                  packet.acknowledgement));
+    if (decision.lateAfter > Duration::zero())
+        this->runtime.runAfter(decision.lateAfter, [this, opening = std::string(datagram), packet] {
+            this->handleLateOpening(opening, packet);
+        });
+}
+
+void EntryNode::handleLateOpening(std::string const &datagram, FlowPacket const &packet)
+{
+    LateOpening const late = this->router.examineLateOpening(packet, IoRuntime::now());
+    switch (late.action) {
+    case LateOpeningAction::None:
+        return;
+    case LateOpeningAction::Withheld:
+        this->repeatsWithheld.fetch_add(1, std::memory_order_relaxed);
+        return;
+    case LateOpeningAction::Repeat:
+        this->repeatOpening(datagram, packet);
+        return;
+    case LateOpeningAction::Check:
+        checkListenerRepeatedly(
+            this->runtime, late.target.target.endpoint, targetCheck,
+            [this, checked = late.target, datagram, packet](ListenerState state) {
+                this->handleCheckResult(checked, state);
+                if (this->blackboard.healthOf(checked.token).isUnreachableAt(IoRuntime::now()))
+                    this->repeatOpening(datagram, packet);
+            });
+        return;
+    }
+}
+
+void EntryNode::repeatOpening(std::string const &datagram, FlowPacket const &packet)
+{
+    this->openingsRepeated.fetch_add(1, std::memory_order_relaxed);
+    this->report(Event::OpeningRepeated, this->describeFlow(packet));
+    Timestamp const now = IoRuntime::now();
+    this->handleDatagram(datagram, PacketTimes{.arrivedAt = now, .now = now});
 }
 
 void EntryNode::reportEstablished(FlowPacket const &packet, ViewTarget const &target, Duration after)
@@ -246,8 +285,7 @@
                  fmt::format("target={:x} endpoint={}", target.target.number.value,
                              target.target.endpoint.toString()));
     checkListenerRepeatedly(
-        this->runtime, target.target.endpoint,
-        RepeatedCheck{.timeout = listenerTimeout, .retryInterval = listenerRetryInterval},
+        this->runtime, target.target.endpoint, targetCheck,
         [this, checked = target](ListenerState state) { this->handleCheckResult(checked, state); });
 }
 
@@ -275,7 +313,9 @@
                          .reset = this->resets,
                          .held = this->holds,
                          .dropped = this->drops,
-                         .undecodable = this->undecodable};
+                         .undecodable = this->undecodable,
+                         .openingsRepeated = this->openingsRepeated,
+                         .repeatsWithheld = this->repeatsWithheld};
 }
 
 } // namespace almondwing
--- a/Libraries/LibNode/EntryNode.h
+++ b/Libraries/LibNode/EntryNode.h
@@ -38,6 +38,8 @@
     std::uint64_t held = 0;
     std::uint64_t dropped = 0;
     std::uint64_t undecodable = 0;
+    std::uint64_t openingsRepeated = 0; // At another target, before the caller retransmitted them.
+    std::uint64_t repeatsWithheld = 0; // By the limit of the operator.
 
     friend bool operator==(EntryCounters const &, EntryCounters const &) = default;
 };
@@ -100,6 +102,9 @@
                  PacketTimes times);
     void execute(std::string_view datagram, FlowPacket const &packet, DropPacket const &decision,
                  PacketTimes times);
+    // Checks the target of an opening without an answer and repeats the opening if the target is gone.
+    void handleLateOpening(std::string const &datagram, FlowPacket const &packet);
+    void repeatOpening(std::string const &datagram, FlowPacket const &packet);
     void retryHeld();
     void reportDropped(FlowPacket const &packet, std::string_view reason);
     void reportEstablished(FlowPacket const &packet, ViewTarget const &target, Duration after);
@@ -129,6 +134,8 @@
     std::atomic<std::uint64_t> holds{0};
     std::atomic<std::uint64_t> drops{0};
     std::atomic<std::uint64_t> undecodable{0};
+    std::atomic<std::uint64_t> openingsRepeated{0};
+    std::atomic<std::uint64_t> repeatsWithheld{0};
 };
 
 } // namespace almondwing
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -31,6 +31,12 @@
           std::pair("undecodable", counters.undecodable)})
         samples.push_back(sample(MetricKind::Counter, "almondwing_packets_total",
                                  "Packets of callers by routing decision.", count, {{"decision", decision}}));
+    samples.push_back(sample(MetricKind::Counter, "almondwing_openings_repeated_total",
+                             "Openings repeated at another target because theirs was gone.",
+                             counters.openingsRepeated));
+    samples.push_back(sample(MetricKind::Counter, "almondwing_repeats_withheld_total",
+                             "Late openings not looked at because of the limit repeat_percent.",
+                             counters.repeatsWithheld));
     samples.push_back(sample(MetricKind::Gauge, "almondwing_view_revision",
                              "Log index of the configuration that the entry routes by.", freshness.revision));
     samples.push_back(sample(MetricKind::Gauge, "almondwing_view_age_seconds",
--- a/Libraries/LibSettings/NodeSettings.cpp
+++ b/Libraries/LibSettings/NodeSettings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t maxMilliseconds = 600'000;
 constexpr double maxColdFlowsPerSecond = 1000;
+constexpr double maxPercent = 100;
 
 std::optional<Endpoint> readOptionalEndpoint(TomlValue const &table, std::string_view key)
 {
@@ -38,7 +39,7 @@
 {
     root.allowKeys({"instance", "failure_domain", "failure_domains", "packets", "readiness", "control",
                     "control_listen", "metrics", "seeds", "data_folder", "first_start", "heartbeat_ms",
-                    "stop_s", "cold_flows_per_s"});
+                    "stop_s", "cold_flows_per_s", "repeat_percent"});
     NodeSettings settings{.instance = readName(root, "instance"),
                           .failureDomain = readName(root, "failure_domain"),
                           .packets = readOptionalEndpoint(root, "packets"),
@@ -58,6 +59,8 @@
     settings.stopTimeout = readSeconds(root, "stop_s", settings.stopTimeout);
     if (TomlValue const rate = root.optionalMember("cold_flows_per_s"); rate.isPresent())
         settings.coldFlowsPerSecond = rate.real(0, maxColdFlowsPerSecond);
+    if (TomlValue const percent = root.optionalMember("repeat_percent"); percent.isPresent())
+        settings.repeatPercent = percent.real(0, maxPercent);
     // These calls only report the absent key.
     if (!settings.packets && !settings.control)
         root.member("packets", "an endpoint, or `control` for a control instance");
--- a/Libraries/LibSettings/NodeSettings.h
+++ b/Libraries/LibSettings/NodeSettings.h
@@ -35,6 +35,10 @@
     Duration stopTimeout = 6s; // Time between the request to stop a process and its kill.
     // Maximum rate at which all instances together open flows at a cold target (RegisteredTarget::coldUntil).
     double coldFlowsPerSecond = 5;
+    // Openings that an entry may repeat at another target, in percent of the openings of each service; 0
+    // turns the repetition off. Applies to routes whose requests may be repeated and whose latency objective
+    // leaves time for it.
+    double repeatPercent = 0;
 
     friend bool operator==(NodeSettings const &, NodeSettings const &) = default;
 };
--- a/Libraries/LibTokenRouting/FlowPacket.h
+++ b/Libraries/LibTokenRouting/FlowPacket.h
@@ -4,6 +4,7 @@
 
 #include <LibCore/Endpoint.h>
 #include <LibCore/Hash.h>
+#include <LibCore/Time.h>
 #include <LibRegistry/RegisteredTarget.h>
 
 #include <compare>
@@ -67,6 +68,8 @@
     TargetNumber target;
     Endpoint endpoint;
     TargetToken token; // Written into the packet.
+    // For an opening: call TokenRouter::examineLateOpening() after this time; 0 if it isn't needed.
+    Duration lateAfter = 0ms;
 
     friend bool operator==(ForwardPacket const &, ForwardPacket const &) = default;
 };
--- a/Libraries/LibTokenRouting/TokenBlackboard.h
+++ b/Libraries/LibTokenRouting/TokenBlackboard.h
@@ -6,6 +6,7 @@
 #include <LibBlackboard/Cell.h>
 #include <LibBlackboard/ShardedTable.h>
 #include <LibEvidence/DomainSilence.h>
+#include <LibTokenRouting/LateOpenings.h>
 #include <LibTokenRouting/ServingView.h>
 
 #include <array>
@@ -87,6 +88,8 @@
     ShardedTable<ConnectionKey, RecentFlow, 16> flows;
     ShardedTable<TargetToken, TargetHealth, 16> targetHealth;
     DomainSilenceTable domainSilence;
+    ShardedTable<std::string, OpeningTimes, 16> openingTimes; // By service, as is the next one.
+    ShardedTable<std::string, RepeatBudget, 16> repeatBudgets;
     Cell<LoadPerSlot> loadPerSlot; // From the latest report of a control instance.
 
     TargetHealth healthOf(TargetToken token) const;
--- a/Libraries/LibTokenRouting/TokenRouter.cpp
+++ b/Libraries/LibTokenRouting/TokenRouter.cpp
@@ -29,8 +29,9 @@
 } // namespace
 
 TokenRouter::TokenRouter(TokenBlackboard &tokenBlackboard, PlacementSettings placementSettings,
-                         TokenRouterHooks routerHooks)
-    : board(tokenBlackboard), placement(std::move(placementSettings)), hooks(std::move(routerHooks))
+                         TokenRouterHooks routerHooks, RepeatSettings repeatSettings)
+    : board(tokenBlackboard), repeats(repeatSettings), placement(std::move(placementSettings)),
+      hooks(std::move(routerHooks))
 {
 }
 
@@ -62,9 +63,12 @@
     auto const known = this->board.flows.read(packet.flow);
     if (known && isSameFlow(known->value, packet)) {
         // If two targets answered the same flow, both would get its data. A retransmission is therefore sent
-        // to another target only if the first one has ended or gives no answer.
+        // to another target only if the first one has ended, a check has shown that it is gone, or it gives
+        // no answer.
         ViewTarget const *const first = view.targetOf(known->value.target);
-        bool const hasEnded = first == nullptr || first->hasEnded;
+        bool const isGone =
+            !known->value.isEstablished && this->board.healthOf(known->value.target).isUnreachableAt(now);
+        bool const hasEnded = first == nullptr || first->hasEnded || isGone;
         bool const isSilent = evaluateRepeatedOpen(this->board, known->value, this->healthSettings, now)
             == HealthVerdict::Suspect;
         if (!hasEnded && !isSilent)
@@ -73,7 +77,8 @@
             this->markSuspectAndCheck(view, *first, packet.flow, now);
         excluded = known->value.target;
     }
-    std::string const &service = chooseService(*view.routeTo(packet.flow.service), packet.flow);
+    FlowRoute const &route = *view.routeTo(packet.flow.service);
+    std::string const &service = chooseService(route, packet.flow);
     auto const token =
         placeFlow(this->board, view, service, excluded, *this->placement.read(), this->hooks.random, now);
     if (!token)
@@ -81,7 +86,51 @@
                                        : PacketDecision(HoldPacket{});
     ViewTarget const *const chosen = view.targetOf(*token);
     recordPlacement(this->board, packet, *chosen, now);
-    return forwardTo(*chosen);
+    return ForwardPacket{.target = chosen->target.number,
+                         .endpoint = chosen->target.endpoint,
+                         .token = chosen->token,
+                         .lateAfter = excluded.isNone() ? this->watchOpening(route.terms, service) : 0ms};
+}
+
+Duration TokenRouter::watchOpening(RouteTerms const &terms, std::string const &service)
+{
+    if (!mayRepeat(terms, this->repeats))
+        return 0ms;
+    this->board.repeatBudgets.update(service, [this](std::optional<RepeatBudget> const &budget) {
+        return std::optional(refilled(budget.value_or(RepeatBudget{}), this->repeats));
+    });
+    auto const times = this->board.openingTimes.read(service);
+    return times ? lateAfter(times->value, this->repeats).value_or(0ms) : 0ms;
+}
+
+LateOpening TokenRouter::examineLateOpening(FlowPacket const &packet, Timestamp now)
+{
+    auto const flow = this->board.flows.read(packet.flow);
+    if (!flow || !isSameFlow(flow->value, packet) || flow->value.isEstablished)
+        return {};
+    auto const view = this->board.view.read();
+    ViewTarget const *const target = view->targetOf(flow->value.target);
+    if (target == nullptr)
+        return {};
+    TargetHealth const health = this->board.healthOf(target->token);
+    if (health.lastAliveAt >= flow->value.openedAt)
+        return {}; // It has answered another flow since, so only this packet was lost.
+    bool isPermitted = false;
+    this->board.repeatBudgets.update(
+        target->target.service,
+        [&](std::optional<RepeatBudget> const &budget) -> std::optional<RepeatBudget> {
+            auto const next = withdrawn(budget.value_or(RepeatBudget{}));
+            isPermitted = next.has_value();
+            return next;
+        });
+    if (!isPermitted)
+        return LateOpening{.action = LateOpeningAction::Withheld};
+    if (health.isUnreachableAt(now))
+        return LateOpening{.action = LateOpeningAction::Repeat};
+    if (now - health.lastCheckedAt < checkInterval)
+        return {}; // The check that is under way resets what waits at the target.
+    this->recordCheckStart(target->token, now);
+    return LateOpening{.action = LateOpeningAction::Check, .target = *target};
 }
 
 PacketDecision TokenRouter::decideSubsequent(ServingView const &view, FlowPacket const &packet, Timestamp now)
@@ -99,8 +148,10 @@
     if (target->hasEnded)
         return ResetFlow{ResetReason::TargetEnded};
     PacketObservation const observation = observeDataPacket(this->board, packet, this->healthSettings, now);
-    if (observation.establishedAfter)
+    if (observation.establishedAfter) {
         this->hooks.flowEstablished(packet, *target, *observation.establishedAfter);
+        this->recordOpeningTime(*target, *observation.establishedAfter);
+    }
     if (observation.isAnswered)
         recordDomainAnswer(this->board.domainSilence, target->target.failureDomain, now);
     if (observation.verdict == HealthVerdict::Suspect)
@@ -172,6 +223,15 @@
     }
 }
 
+void TokenRouter::recordOpeningTime(ViewTarget const &target, Duration time)
+{
+    if (this->repeats.share <= 0)
+        return;
+    this->board.openingTimes.update(target.target.service, [time](std::optional<OpeningTimes> const &times) {
+        return std::optional(withTime(times.value_or(OpeningTimes{}), time));
+    });
+}
+
 // Covers the loss of a whole failure domain while most of its targets have only one flow each through this
 // instance, so that no second flow can confirm that they do not answer.
 bool TokenRouter::hasStoppedResponding(ServingView const &view, ViewTarget const &target, Timestamp now) const
@@ -200,13 +260,18 @@
 {
     if (now - this->board.healthOf(target.token).lastCheckedAt < checkInterval)
         return;
-    this->board.targetHealth.update(target.token,
+    this->recordCheckStart(target.token, now);
+    this->hooks.checkTarget(target);
+}
+
+void TokenRouter::recordCheckStart(TargetToken token, Timestamp now)
+{
+    this->board.targetHealth.update(token,
                                     [now](std::optional<TargetHealth> health) -> std::optional<TargetHealth> {
                                         TargetHealth next = health.value_or(TargetHealth{});
                                         next.lastCheckedAt = now;
                                         return next;
                                     });
-    this->hooks.checkTarget(target);
 }
 
 } // namespace almondwing
--- a/Libraries/LibTokenRouting/TokenRouter.h
+++ b/Libraries/LibTokenRouting/TokenRouter.h
@@ -22,16 +22,34 @@
     std::function<void(FlowPacket const &, ViewTarget const &, Duration)> flowEstablished;
 };
 
+enum class LateOpeningAction : std::uint8_t {
+    None, // It was answered, or another flow uses its port.
+    Withheld, // The limit of the operator does not allow another repetition.
+    Check, // The target is to be checked; if that fails, the opening is to be decided again.
+    Repeat, // The target is known to be gone; the opening is to be decided again.
+};
+
+struct LateOpening
+{
+    LateOpeningAction action = LateOpeningAction::None;
+    ViewTarget target; // To which the opening was sent; set for Check.
+
+    friend bool operator==(LateOpening const &, LateOpening const &) = default;
+};
+
 class TokenRouter
 {
 public:
     TokenRouter(TokenBlackboard &tokenBlackboard, PlacementSettings placementSettings,
-                TokenRouterHooks routerHooks);
+                TokenRouterHooks routerHooks, RepeatSettings repeatSettings = {});
 
     PacketDecision decide(FlowPacket const &packet, Timestamp now);
 
     void permitColdFlows(Timestamp until);
 
+    // Decides about an opening whose ForwardPacket::lateAfter has passed.
+    LateOpening examineLateOpening(FlowPacket const &packet, Timestamp now);
+
     // Records the result of a direct check that was requested with checkTarget. If the target is unreachable,
     // returns its flows that wait for an answer, and those of other targets whose silence it confirms. They
     // are to be reset now, because their callers would otherwise learn of it only at their next
@@ -48,6 +66,8 @@
     void markSuspectAndCheck(ServingView const &view, ViewTarget const &target, ConnectionKey const &flow,
                              Timestamp now);
     void checkIfDue(ViewTarget const &target, Timestamp now);
+    void recordCheckStart(TargetToken token, Timestamp now);
+    void recordOpeningTime(ViewTarget const &target, Duration time);
     // Evaluates a check without an answer together with those of other targets of the failure domain. Returns
     // the targets whose silence is confirmed. Called only for routes whose callers gain from it
     // (PassiveHealthSettings::quickEvidenceObjective).
@@ -57,7 +77,11 @@
     void leaveSilentDomain(ServingView const &view, std::string const &failureDomain, Timestamp now);
 
     TokenBlackboard &board;
+    // Returns how long the opening, which was just placed, may go without an answer; 0 if it isn't watched.
+    Duration watchOpening(RouteTerms const &terms, std::string const &service);
+
     PassiveHealthSettings healthSettings;
+    RepeatSettings repeats;
     Cell<PlacementSettings> placement;
     TokenRouterHooks hooks;
 };
--- a/Tests/LibSettings/NodeSettingsTest.cpp
+++ b/Tests/LibSettings/NodeSettingsTest.cpp
@@ -20,6 +20,7 @@
 heartbeat_ms = 770
 stop_s = 6
 cold_flows_per_s = 5
+repeat_percent = 2.5
 )";
 
 std::string const controlSettings = R"(instance = "control-1"
@@ -66,7 +67,8 @@
                                     .isFirstStart = true,
                                     .heartbeatInterval = 770ms,
                                     .stopTimeout = 6s,
-                                    .coldFlowsPerSecond = 5};
+                                    .coldFlowsPerSecond = 5,
+                                    .repeatPercent = 2.5};
         CPPUNIT_ASSERT(std::get<NodeSettings>(result) == expected);
     }
 
@@ -86,10 +88,11 @@
 readiness = "10.1.0.10:8167"
 seeds = ["10.1.0.12"]
 heartbeat_ms = 0
+repeat_percent = 101
 colour = "red"
 )");
-        for (char const *key :
-             {"instance", "failure_domain", "packets", "seeds[0]", "heartbeat_ms", "colour"})
+        for (char const *key : {"instance", "failure_domain", "packets", "seeds[0]", "heartbeat_ms",
+                                "repeat_percent", "colour"})
             CPPUNIT_ASSERT_MESSAGE(key, std::ranges::find(keys, key) != keys.end());
     }
 
