LibRegistry: Keep the number of a target at an instance without a configuration

- A report of another writer for an undefined service, under the number of a living target, replaced its record at a control instance that did not know the configuration yet, for up to 60 s.
Such a report replaces no record of another service now, and a report for a defined service replaces a record for an undefined one. foreignReportBeforeTheConfigurationTakesOverNoNumber checks both orders.
- Settings without failure_domains refused every heartbeat; an empty list knows all of them.
- Records that a peer lacks and that did not fit into one call were dropped until its next heartbeat round.
- Two threads could write the line of a refused report in the same second; the test bounds the number of lines now.

--- a/Libraries/LibNode/ControlServer.cpp
+++ b/Libraries/LibNode/ControlServer.cpp
@@ -85,7 +85,8 @@
                                        },
                                    .isDomainKnown =
                                        [this](std::string const &domain) {
-                                           return this->failureDomains.read()->contains(domain);
+                                           return this->settings.failureDomains.empty()
+                                               || this->failureDomains.read()->contains(domain);
                                        }})
 {
     DocumentLogHooks hooks{
@@ -123,6 +124,7 @@
         this->report);
     this->addSeeds(this->settings.seeds);
     this->addFailureDomains(this->settings.failureDomains);
+    this->addFailureDomains({this->settings.failureDomain});
 }
 
 absl::Status ControlServer::open()
--- a/Libraries/LibNode/ControlServerAnswers.cpp
+++ b/Libraries/LibNode/ControlServerAnswers.cpp
@@ -27,7 +27,11 @@
     Timestamp const now = IoRuntime::now();
     RegisteredTarget target = call.target;
     if (absl::Status const status = this->registry.mayBeUsed(target); !status.ok()) {
-        this->answer(request, InvalidReport{.field = "record", .reason = std::string(status.message())},
+        // The adapter has checked the other fields.
+        bool const isRecordValid = checkRecord(target).ok();
+        this->answer(request,
+                     InvalidReport{.field = isRecordValid ? "failure_domain" : "record",
+                                   .reason = std::string(status.message())},
                      respond);
         return;
     }
@@ -175,8 +179,8 @@
         return counts;
     });
     std::string const reason = fmt::format("`{}` {}", call.field, call.reason);
-    if (now >= this->nextRefusalLine.load()) {
-        this->nextRefusalLine = now + refusalLineInterval;
+    Timestamp due = this->nextRefusalLine.load();
+    if (now >= due && this->nextRefusalLine.compare_exchange_strong(due, now + refusalLineInterval)) {
         this->report(Event::ReportRefused,
                      fmt::format("path={} reason={}", quoteLogValue(request.path), quoteLogValue(reason)));
     }
--- a/Libraries/LibNode/RegistrySync.cpp
+++ b/Libraries/LibNode/RegistrySync.cpp
@@ -75,16 +75,20 @@
     return exchange;
 }
 
-void RegistrySync::addMissing(std::vector<RegisteredTarget> &targets,
-                              std::vector<TargetNumber> const &missing) const
+std::vector<TargetNumber> RegistrySync::addMissing(std::vector<RegisteredTarget> &targets,
+                                                   std::vector<TargetNumber> const &missing) const
 {
+    std::vector<TargetNumber> left;
     for (TargetNumber const number : missing) {
-        if (targets.size() >= this->settings.maxTargetsPerExchange)
-            return;
+        if (std::ranges::find(targets, number, &RegisteredTarget::number) != targets.end())
+            continue;
         auto record = this->registry.find(number);
-        if (record && std::ranges::find(targets, number, &RegisteredTarget::number) == targets.end())
+        if (record && targets.size() < this->settings.maxTargetsPerExchange)
             targets.push_back(*std::move(record));
+        else if (record)
+            left.push_back(number);
     }
+    return left;
 }
 
 void RegistrySync::syncPeer(ControlPeer const &peer, Timestamp now)
@@ -101,7 +105,7 @@
     RegistryChanges changes =
         this->registry.oldestChangesAfter(link->confirmedGeneration, this->settings.maxTargetsPerExchange);
     std::uint64_t const sentGeneration = changes.isTruncated ? changes.lastGeneration : generation;
-    this->addMissing(changes.targets, std::exchange(link->missing, {}));
+    link->missing = this->addMissing(changes.targets, link->missing);
     RegistryExchange const exchange = this->exchangeFor(*link, std::move(changes), isHeartbeatRound, now);
     link->isCallPending = true;
     if (isHeartbeatRound)
@@ -137,7 +141,8 @@
         if (!reply.ok())
             return;
         this->directory.recordContact(peer, "", now);
-        link.missing = reply->missing;
+        if (!reply->missing.empty())
+            link.missing = reply->missing;
         hasMoreToSend = !link.missing.empty();
         if (reply->bootId != link.bootId) {
             // A new process has no records, and the exchange just sent may have been only a delta.
--- a/Libraries/LibNode/RegistrySync.h
+++ b/Libraries/LibNode/RegistrySync.h
@@ -73,7 +73,7 @@
         std::uint64_t confirmedHeartbeatGeneration = 0;
         bool isCallPending = false;
         Timestamp lastHeartbeatRound;
-        std::vector<TargetNumber> missing; // Records that the process lacks, by its latest reply.
+        std::vector<TargetNumber> missing; // Records that the process lacks, by its replies.
         std::vector<Endpoint> reachablePeers; // As reported by the peer.
     };
 
@@ -88,8 +88,9 @@
     void syncPeer(ControlPeer const &peer, Timestamp now);
     RegistryExchange exchangeFor(PeerLink const &link, RegistryChanges changes, bool isHeartbeatRound,
                                  Timestamp now) const;
-    // Adds the records that the peer lacks, as far as they fit into one call.
-    void addMissing(std::vector<RegisteredTarget> &targets, std::vector<TargetNumber> const &missing) const;
+    // Adds the records that the peer lacks, as far as they fit into one call, and returns the others.
+    std::vector<TargetNumber> addMissing(std::vector<RegisteredTarget> &targets,
+                                         std::vector<TargetNumber> const &missing) const;
     void handleReply(Endpoint peer, PeerLink &link, std::uint64_t sentGeneration, bool wasHeartbeatRound,
                      absl::StatusOr<HttpResponse> const &response);
     void resolveWaiters(Timestamp now);
--- a/Libraries/LibRegistry/TargetRegistry.cpp
+++ b/Libraries/LibRegistry/TargetRegistry.cpp
@@ -70,6 +70,9 @@
 // transit time.
 MergeOutcome TargetRegistry::store(RegisteredTarget const &report, Timestamp now, Endpoint reporter)
 {
+    // A report for a defined service replaces a record for an undefined one, whatever their versions are: the
+    // record may be of another writer.
+    bool const isDefined = this->hooks.isServiceDefined(report.service);
     return this->commitChange([&](std::uint64_t generation) {
         MergeOutcome outcome = MergeOutcome::Unchanged;
         this->entries.update(
@@ -82,7 +85,10 @@
                                          .refreshGeneration = generation,
                                          .reporter = reporter};
                 }
-                if (isAfterEnd(known->target, report) || report.reportVersion <= known->target.reportVersion)
+                bool const isKnownForeign = isDefined && !this->hooks.isServiceDefined(known->target.service);
+                if (!isKnownForeign
+                    && (isAfterEnd(known->target, report)
+                        || report.reportVersion <= known->target.reportVersion))
                     return std::nullopt;
                 bool const isChanged = differsForRouting(known->target, report, now);
                 outcome = isChanged ? MergeOutcome::Changed : MergeOutcome::Refreshed;
@@ -102,7 +108,7 @@
 {
     auto known = this->find(heartbeat.number);
     std::int64_t const knownStart = known ? known->reportVersion.startUnixMilliseconds : 0;
-    // The record of a target whose heartbeats have stopped is about to expire where it is still known.
+    // An old heartbeat is not a reason to ask for the record: the target may have failed since.
     if (knownStart < heartbeat.reportVersion.startUnixMilliseconds)
         return this->isOverdue(heartbeat, now) ? MergeOutcome::Unchanged : MergeOutcome::UnknownRun;
     if (knownStart > heartbeat.reportVersion.startUnixMilliseconds)
@@ -162,13 +168,14 @@
     });
 }
 
-// Whether the report has the number of a target of a defined service, but names an undefined one.
+// Whether the report has the number of a known target, but names another service that is not defined. An
+// instance that knows no configuration yet can't tell which of the two is defined, so the first report stays.
 bool TargetRegistry::isForeignReport(RegisteredTarget const &report) const
 {
     if (this->hooks.isServiceDefined(report.service))
         return false;
     auto const known = this->find(report.number);
-    return known && known->service != report.service && this->hooks.isServiceDefined(known->service);
+    return known && known->service != report.service;
 }
 
 void TargetRegistry::markCold(std::string const &failureDomain, Timestamp until)
--- a/Libraries/LibRegistry/TargetRegistry.h
+++ b/Libraries/LibRegistry/TargetRegistry.h
@@ -37,7 +37,8 @@
     Unchanged, // Nothing is stored, for example because the report is not newer or its run has ended.
     Refreshed, // The report is newer, but changes nothing that matters for routing.
     Changed, // The record has changed in a way that matters for routing.
-    // Nothing is stored, because the heartbeat refers to a run of the target whose record is not known here.
+    // Nothing is stored, because the heartbeat refers to a run of the target whose record is not known here,
+    // or only that of an earlier run.
     // Only mergeHeartbeat() returns this.
     UnknownRun,
 };
--- a/Libraries/LibSettings/NodeSettings.cpp
+++ b/Libraries/LibSettings/NodeSettings.cpp
@@ -47,7 +47,8 @@
                           .control = readOptionalEndpoint(root, "control"),
                           .controlListen = readOptionalEndpoint(root, "control_listen"),
                           .metrics = readOptionalEndpoint(root, "metrics")};
-    // The names are not checked; they are only compared with the names in the requests of operators.
+    // The names are not checked; they are only compared with those in the reports of targets and the requests
+    // of operators.
     for (TomlValue const &domain : root.optionalMember("failure_domains").elements())
         settings.failureDomains.push_back(domain.text("the name of a failure domain"));
     for (TomlValue const &seed : root.member("seeds", "a list of endpoints").elements())
--- a/Libraries/LibSettings/NodeSettings.h
+++ b/Libraries/LibSettings/NodeSettings.h
@@ -22,7 +22,9 @@
 {
     std::string instance;
     std::string failureDomain;
-    std::vector<std::string> failureDomains; // All failure domains of the deployment, including this one.
+    // All failure domains of the deployment. A control instance refuses the reports of targets of others,
+    // unless the list is empty.
+    std::vector<std::string> failureDomains;
     std::optional<Endpoint> packets; // UDP, from callers; entries only.
     std::optional<Endpoint> readiness; // HTTP, queried by the fabric; entries only.
     std::optional<Endpoint> control; // HTTP; control instances only.
--- a/Tests/LibNode/PropagationTest.cpp
+++ b/Tests/LibNode/PropagationTest.cpp
@@ -154,11 +154,14 @@
         NodeFixture fixture(1);
         RegisteredTarget target = reportedTarget(7, 1, RegisteredState::Ready);
         target.failureDomain = "dar-x";
-        for (int attempt = 0; attempt < 3; ++attempt)
+        Timestamp const begun = IoRuntime::now();
+        for (int attempt = 0; attempt < 50; ++attempt)
             CPPUNIT_ASSERT_EQUAL(400U, fixture.call(0, "/heartbeat", heartbeatOf(target)).status);
         ControlServer &server = *fixture.controlInstances.front()->server;
-        CPPUNIT_ASSERT(server.state().reportRefusals == (ReportRefusals{{"record", 3}}));
-        CPPUNIT_ASSERT(fixture.events.count(Event::ReportRefused) >= 1);
+        CPPUNIT_ASSERT(server.state().reportRefusals == (ReportRefusals{{"failure_domain", 50}}));
+        auto const seconds = static_cast<std::size_t>((IoRuntime::now() - begun) / 1s);
+        std::size_t const lines = fixture.events.count(Event::ReportRefused);
+        CPPUNIT_ASSERT(lines >= 1 && lines <= seconds + 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.state().targets);
 
         // After the settings name the failure domain, its targets are used.
--- a/Tests/LibRegistry/TargetRegistryTest.cpp
+++ b/Tests/LibRegistry/TargetRegistryTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(heartbeatIsNoRoutingChange);
     CPPUNIT_TEST(relayedHeartbeatNeedsKnownRun);
     CPPUNIT_TEST(invalidRecordsAreNotStored);
+    CPPUNIT_TEST(foreignReportBeforeTheConfigurationTakesOverNoNumber);
     CPPUNIT_TEST(recordOfUnknownDomainIsNotStored);
     CPPUNIT_TEST(markedTargetsAreColdUntilNextHeartbeat);
     CPPUNIT_TEST(silentTargetIsOverdue);
@@ -311,6 +312,30 @@
         CPPUNIT_ASSERT(this->registry.merge(valid, start) == MergeOutcome::Changed);
     }
 
+    // Guards against a foreign report that takes over the number of a living target at an instance that does
+    // not know the configuration yet, in either order of the two reports.
+    void foreignReportBeforeTheConfigurationTakesOverNoNumber()
+    {
+        for (bool const isForeignFirst : {false, true}) {
+            bool isConfigured = false;
+            TargetRegistry unconfigured(
+                RegistrySettings{}, TargetRegistryHooks{.isServiceDefined = [&](std::string const &service) {
+                    return isConfigured && service == "orders";
+                }});
+            RegisteredTarget foreign = targetAt(1, 200, 9);
+            foreign.service = "audit";
+            if (isForeignFirst)
+                unconfigured.merge(foreign, start);
+            unconfigured.merge(targetAt(1, 100, 1), start);
+            if (!isForeignFirst)
+                unconfigured.merge(foreign, start);
+            isConfigured = true;
+            unconfigured.merge(targetAt(1, 100, 2), start);
+            CPPUNIT_ASSERT_EQUAL(std::string("orders"), unconfigured.find(TargetNumber{1})->service);
+            CPPUNIT_ASSERT(unconfigured.merge(targetAt(1, 100, 3), start) == MergeOutcome::Refreshed);
+        }
+    }
+
     void recordOfUnknownDomainIsNotStored()
     {
         bool isKnown = false;
