--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -20,6 +20,7 @@
 SETTINGS_VARIABLE = "ALMONDWING_NODE_FILE"
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+CASE_LIMIT_S = 112.0
 
 
 class CannotRun(Exception):
@@ -214,14 +215,22 @@
         return status == 200
 
 
+async def finish(play, case_folder, has_trouble):
+    """Runs the case and ends the process at once: a task that misses its cancellation would keep the loop alive."""
+    try:
+        has_held = await asyncio.wait_for(play(case_folder, has_trouble), CASE_LIMIT_S)
+        print("the rule held" if has_held else "the rule was broken", flush=True)
+        result = EXIT_HELD if has_held else EXIT_BROKEN
+    except Exception as error:  # Whatever it is, it is not the rule that was broken.
+        print(f"the case could not run: {error!r}", flush=True)
+        result = EXIT_NOT_RUN
+    os._exit(result)
+
+
 def run_case(play):
-    """Runs `play(case_folder, has_trouble)`, which returns whether the rule held, and exits with the result."""
-    case_folder = os.path.abspath(sys.argv[1])
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    """Runs `play(case_folder, has_trouble)`, which returns whether the rule held, and exits with the result. `play`
+    ends all processes that it has started."""
     try:
-        has_held = asyncio.run(play(case_folder, has_trouble))
-    except CannotRun as error:
-        print(f"the case could not run: {error}")
+        asyncio.run(finish(play, os.path.abspath(sys.argv[1]), os.environ.get("TROUBLE", "1") != "0"))
+    except KeyboardInterrupt:
         sys.exit(EXIT_NOT_RUN)
-    print("the rule held" if has_held else "the rule was broken")
-    sys.exit(EXIT_HELD if has_held else EXIT_BROKEN)
