--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,24 +8,14 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 from deployment import CannotRun, Deployment, run_case  # noqa: E402
+from documents import configuration  # noqa: E402
 
 SYNC_S = 4.0  # Time after its start for which a new machine still counts as lost.
 GRACE_S = 6.0
 CALM_S = 20.0  # From the end of the last removed machine to the loss of a disk.
 RECOVERY_S = 12.0
 STABILITY_S = 4.0
-
-
-def configuration(version):
-    return json.dumps({
-        "version": version,
-        "routes": [{"name": "r-1", "host": "198.18.0.1", "path_prefix": "/8443/", "type": "safe",
-                    "timeout_ms": 1000 + version, "target_latency_ms": 100, "priority": 2, "service": "desk",
-                    "max_attempts": 2}],
-        "services": [{"name": "desk", "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": False,
-                      "warmup_s": 2.0, "warmup_per_s": 0.0}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000}})
+ROUTES = {"198.18.0.1": "desk"}
 
 
 async def replace(deployment, old, successor):
@@ -52,7 +42,7 @@
         deployment.set_seeds(olds)
         for node in olds:
             node.start(is_first_start=True)
-        if not await deployment.replace_configuration(configuration(1), limit=20):
+        if not await deployment.replace_configuration(configuration(1, ROUTES), limit=20):
             raise CannotRun("the first configuration was not accepted")
 
         # The two machines that don't lead are replaced, so that the change needs no election.
@@ -63,7 +53,7 @@
             await replace(deployment, old, successor)
         await asyncio.sleep(CALM_S)
         for version in (2, 3):
-            if not await deployment.replace_configuration(configuration(version)):
+            if not await deployment.replace_configuration(configuration(version, ROUTES)):
                 raise CannotRun(f"configuration {version} was not accepted")
 
         # One machine loses its disk and restarts at its address.
@@ -80,7 +70,7 @@
         reads = [await deployment.order("GET", "/Configuration.Read", limit=STABILITY_S) for _ in range(5)]
         versions = [json.loads(content)["version"] for status, content in reads if status == 200]
         record.write(f"versions read at the end: {versions}; configuration 3 was acknowledged")
-        is_accepted = await deployment.replace_configuration(configuration(4), limit=10)
+        is_accepted = await deployment.replace_configuration(configuration(4, ROUTES), limit=10)
         record.write(f"a further configuration is accepted: {is_accepted}")
         return bool(versions) and min(versions) >= 3
     finally:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,24 +9,14 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 from deployment import CannotRun, Deployment, run_case  # noqa: E402
+from documents import configuration  # noqa: E402
 
 SYNC_S = 4.0  # Time after its start for which a new machine still counts as lost.
 GRACE_S = 6.0
 DISK_LOSS_AFTER_S = 1.5  # From the end of the removed machine.
 RECOVERY_S = 12.0
 STABILITY_S = 4.0
-
-
-def configuration(version):
-    return json.dumps({
-        "version": version,
-        "routes": [{"name": "r-1", "host": "198.18.0.1", "path_prefix": "/8443/", "type": "safe",
-                    "timeout_ms": 1000 + version, "target_latency_ms": 100, "priority": 2, "service": "desk",
-                    "max_attempts": 2}],
-        "services": [{"name": "desk", "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": False,
-                      "warmup_s": 2.0, "warmup_per_s": 0.0}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000}})
+ROUTES = {"198.18.0.1": "desk"}
 
 
 async def play(case_folder, has_trouble):
@@ -41,14 +31,14 @@
         deployment.set_seeds([first, second, third])
         for node in (first, second, third):
             node.start(is_first_start=True)
-        if not await deployment.replace_configuration(configuration(1), limit=20):
+        if not await deployment.replace_configuration(configuration(1, ROUTES), limit=20):
             raise CannotRun("the first configuration was not accepted")
 
         # Planned replacement: the new machine first, then SIGTERM for the old one.
         successor.start()
         deployment.controls.append(successor)
         await asyncio.sleep(SYNC_S + 4)
-        if not await deployment.replace_configuration(configuration(2)):
+        if not await deployment.replace_configuration(configuration(2, ROUTES)):
             raise CannotRun("configuration 2 was not accepted")
         first.signal(signal.SIGTERM)
         if not await first.wait_for_end(GRACE_S):
@@ -56,7 +46,7 @@
             await first.wait_for_end(1)
         deployment.controls.remove(first)
         removed_at = time.monotonic()
-        if not await deployment.replace_configuration(configuration(3)):
+        if not await deployment.replace_configuration(configuration(3, ROUTES)):
             raise CannotRun("configuration 3 was not accepted")
 
         # One machine loses its disk and restarts at its address.
@@ -73,7 +63,7 @@
         reads = [await deployment.order("GET", "/Configuration.Read", limit=STABILITY_S) for _ in range(5)]
         versions = [json.loads(content)["version"] for status, content in reads if status == 200]
         record.write(f"versions read at the end: {versions}; configuration 3 was acknowledged")
-        is_accepted = await deployment.replace_configuration(configuration(4), limit=10)
+        is_accepted = await deployment.replace_configuration(configuration(4, ROUTES), limit=10)
         record.write(f"a further configuration is accepted: {is_accepted}")
         return bool(versions) and min(versions) >= 3
     finally:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,21 +1,17 @@
 """A zone returns to service just after the process of its entry was killed and started again."""
 
 import asyncio
-import json
 import os
 import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
-from deployment import CannotRun, Deployment, http_call, run_case  # noqa: E402
-from flows import Consumer, Server, to_number  # noqa: E402
+from deployment import CannotRun, Deployment, run_case  # noqa: E402
+from documents import MOST_AT_COLD_SERVER, PORT, WARMUP_S, configuration  # noqa: E402
+from flows import Consumer, Server, most_in_one_second, send_requests, to_number  # noqa: E402
 
-ROUTE = (to_number("198.18.0.1"), 8443)
-WARMUP_S = 2.0
-WARMUP_PER_S = 0.0
-WARMUP_BURST_FACTOR = 1.5
-WARMUP_SLACK = 5
+HOST = "198.18.0.1"
 FLOWS_PER_S = 20
 EVACUATION_S = 6.0
 SERVERS_PER_ZONE = 3
@@ -25,47 +21,10 @@
 RESTART_AFTER_S = 0.1
 
 
-def configuration():
-    return json.dumps({
-        "version": 1,
-        "routes": [{"name": "r-1", "host": "198.18.0.1", "path_prefix": "/8443/", "type": "safe", "timeout_ms": 1000,
-                    "target_latency_ms": 100, "priority": 2, "service": "desk", "max_attempts": 2}],
-        "services": [{"name": "desk", "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": False,
-                      "warmup_s": WARMUP_S, "warmup_per_s": WARMUP_PER_S}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000}})
-
-
-def most_in_one_second(times):
-    return max((sum(start <= at < start + 1 for at in times) for start in times), default=0)
-
-
 async def sleep_until(moment):
     await asyncio.sleep(max(0.0, moment - time.monotonic()))
 
 
-async def wait_until_ready(deployment, entry):
-    for _ in range(200):
-        status, _, _ = await http_call(entry.address, deployment.ports["readiness"], "GET", "/readiness")
-        if status == 200:
-            return
-        await asyncio.sleep(0.1)
-    raise CannotRun("an entry did not become ready")
-
-
-async def send_requests(consumer, entry):
-    running = set()
-    try:
-        while True:
-            task = asyncio.create_task(consumer.request(entry))
-            running.add(task)
-            task.add_done_callback(running.discard)
-            await asyncio.sleep(1 / FLOWS_PER_S)
-    finally:
-        for task in list(running):
-            task.cancel()
-
-
 async def return_zone(deployment, has_trouble):
     """Takes a zone out and back. Returns the most opening packets that a cold server got in one second."""
     record = deployment.record
@@ -120,7 +79,7 @@
         deployment.set_seeds(deployment.controls)
         for node in deployment.nodes:
             node.start(is_first_start=True)
-        if (await deployment.order("POST", "/Configuration.Replace", configuration().encode(), 20))[0] != 200:
+        if (await deployment.order("POST", "/Configuration.Replace", configuration(1, {HOST: "desk"}).encode(), 20))[0] != 200:
             raise CannotRun("the configuration was not accepted")
         for number, address in enumerate(server_addresses):
             domain = deployment.domains[number // SERVERS_PER_ZONE]
@@ -131,13 +90,12 @@
         traffic = []
         for domain, address in zip(deployment.domains, consumer_addresses):
             entry = next(node for node in deployment.nodes if not node.is_control and node.domain == domain)
-            await wait_until_ready(deployment, entry)
-            consumer = Consumer(deployment, address, ROUTE)
+            await deployment.wait_until_ready(entry)
+            consumer = Consumer(deployment, address, (to_number(HOST), PORT))
             await consumer.start()
-            traffic.append(asyncio.create_task(send_requests(consumer, entry)))
+            traffic.append(asyncio.create_task(send_requests(consumer, entry, FLOWS_PER_S)))
         await asyncio.sleep(5)
-        allowed = WARMUP_PER_S * WARMUP_BURST_FACTOR + WARMUP_SLACK
-        return await return_zone(deployment, has_trouble) <= allowed
+        return await return_zone(deployment, has_trouble) <= MOST_AT_COLD_SERVER
     finally:
         deployment.stop()
 
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -209,6 +209,14 @@
             await asyncio.sleep(0.1)
         raise CannotRun("no control instance answers a read")
 
+    async def wait_until_ready(self, entry):
+        for _ in range(200):
+            status, _, _ = await http_call(entry.address, self.ports["readiness"], "GET", "/readiness")
+            if status == 200:
+                return
+            await asyncio.sleep(0.1)
+        raise CannotRun(f"{entry.name} did not become ready")
+
     async def replace_configuration(self, text, limit=10.0):
         status, _ = await self.order("POST", "/Configuration.Replace", text.encode(), limit)
         self.record.write(f"configuration {json.loads(text)['version']}: {status}")
--- a/review/common-2/flows.py
+++ b/review/common-2/flows.py
@@ -269,3 +269,21 @@
                     return "served"
             pause = min(1.6, pause * 2)
         return "time limit"
+
+
+async def send_requests(consumer, entry, per_s):
+    """Opens flows through an entry at a steady rate until it is cancelled."""
+    running = set()
+    try:
+        while True:
+            task = asyncio.create_task(consumer.request(entry))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(1 / per_s)
+    finally:
+        for task in list(running):
+            task.cancel()
+
+
+def most_in_one_second(times):
+    return max((sum(start <= at < start + 1 for at in times) for start in times), default=0)
