--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,71 +1,129 @@
-"""A planned replacement of a control machine, then the loss of one disk."""
+"""The answer to an opening packet is lost once; the consumer then uses its flow for several requests."""
 
 import asyncio
-import json
 import os
-import signal
+import random
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 from deployment import CannotRun, Deployment, run_case  # noqa: E402
-from documents import configuration  # noqa: E402
+from documents import PORT, configuration  # noqa: E402
+from flows import ACK, FIN, RST, SYN, Consumer, Server, to_number  # noqa: E402
 
-SYNC_S = 4.0  # Time after its start for which a new machine still counts as lost.
-GRACE_S = 6.0
-DISK_LOSS_AFTER_S = 1.5  # From the end of the removed machine.
-RECOVERY_S = 12.0
-STABILITY_S = 4.0
-ROUTES = {"198.18.0.1": "desk"}
+HOST = "198.18.0.1"
+SERVERS_PER_ZONE = 2
+WORK_S = 0.02
+REQUESTS = 6
+PAUSE_S = 0.7  # Between the requests of a flow.
+TIME_LIMIT_S = 1.2
+FLOWS = 8
+
+
+class WorkingServer(Server):
+    """A server that works on each request for a while."""
+
+    def handle_data(self, key, flow, packet):
+        asyncio.get_running_loop().call_later(WORK_S, super().handle_data, key, flow, packet)
+
+
+class PatientConsumer(Consumer):
+    """Keeps a flow open for several requests, with pauses between them.
+
+    As PROTOCOL.md has it, its packets carry the last echo that it received on the flow."""
+
+    async def exchange(self, entry, port, sequence, answer, end):
+        self.echo = answer.echo
+        sequence, acknowledged = sequence + 1, answer.sequence + 1
+        self.send(entry, port, ACK, sequence, acknowledged, self.echo)
+        for number in range(REQUESTS):
+            payload = f"request {number} of {self.address}:{port}".encode()
+            outcome, acknowledged = await self.send_request(entry, port, sequence, acknowledged, payload)
+            if outcome != "served":
+                return outcome
+            sequence += len(payload)
+            until = time.monotonic() + PAUSE_S
+            while (packet := await self.receive_until(port, until)) is not None:
+                if packet.flags & RST:
+                    return "reset"
+                self.echo = packet.echo
+        self.send(entry, port, FIN | ACK, sequence, acknowledged, self.echo)
+        return "served"
+
+    async def send_request(self, entry, port, sequence, acknowledged, payload):
+        end = time.monotonic() + TIME_LIMIT_S
+        pause = 0.2
+        while time.monotonic() < end:
+            self.send(entry, port, ACK, sequence, acknowledged, self.echo, payload)
+            until = min(end, time.monotonic() + pause)
+            while (packet := await self.receive_until(port, until)) is not None:
+                if packet.flags & RST:
+                    return "reset by the system" if packet.sum == 0 else "reset by a server", acknowledged
+                self.echo = packet.echo
+                if packet.payload == payload:
+                    return "served", packet.sequence + len(payload)
+            pause = min(1.6, pause * 2)
+        return "time limit", acknowledged
+
+
+class OneLoss:
+    """Loses one SYN+ACK, whichever server sends it."""
+
+    def __init__(self):
+        self.is_due = False
+
+    def passes(self, _, flags):
+        if self.is_due and flags == SYN | ACK:
+            self.is_due = False
+            return False
+        return True
+
+
+def foreign_resets(servers, key):
+    """The servers that have reset a flow which another living server holds open."""
+    holders = [server for server in servers if key in server.flows and server.flows[key]["open"]]
+    return [server for server in servers for holder in holders if server is not holder and key in server.resets]
 
 
 async def play(case_folder, has_trouble):
     deployment = Deployment(case_folder, ["dar-a", "dar-b", "dar-c"])
     record = deployment.record
     try:
-        first, second, third = (deployment.add(f"core-{name}", index, 1, True)
-                                for index, name in enumerate(deployment.domains))
-        successor = deployment.add("core-dar-a-new", 0, 2, True)
-        deployment.controls.remove(successor)
-        deployment.choose_ports([node.address for node in deployment.nodes])
-        deployment.set_seeds([first, second, third])
-        for node in (first, second, third):
+        for index, domain in enumerate(deployment.domains):
+            deployment.add(f"core-{domain}-1", index, 1, True)
+        entry = deployment.add("front-dar-a-1", 0, 10, False)
+        consumer_address = deployment.address(100, 1)
+        server_addresses = [deployment.address(index, 50 + copy) for index in range(3) for copy in range(SERVERS_PER_ZONE)]
+        deployment.choose_ports([node.address for node in deployment.nodes] + [consumer_address] + server_addresses)
+        deployment.set_seeds(deployment.controls)
+        for node in deployment.nodes:
             node.start(is_first_start=True)
-        if not await deployment.replace_configuration(configuration(1, ROUTES), limit=20):
-            raise CannotRun("the first configuration was not accepted")
-
-        # Planned replacement: the new machine first, then SIGTERM for the old one.
-        successor.start()
-        deployment.controls.append(successor)
-        await asyncio.sleep(SYNC_S + 4)
-        if not await deployment.replace_configuration(configuration(2, ROUTES)):
-            raise CannotRun("configuration 2 was not accepted")
-        first.signal(signal.SIGTERM)
-        if not await first.wait_for_end(GRACE_S):
-            first.signal(signal.SIGKILL)
-            await first.wait_for_end(1)
-        deployment.controls.remove(first)
-        removed_at = time.monotonic()
-        if not await deployment.replace_configuration(configuration(3, ROUTES)):
-            raise CannotRun("configuration 3 was not accepted")
-
-        # One machine loses its disk and restarts at its address.
-        await asyncio.sleep(max(0.0, removed_at + DISK_LOSS_AFTER_S - time.monotonic()))
-        if has_trouble:
-            second.signal(signal.SIGKILL)
-            await second.wait_for_end(1)
-            second.lose_disk()
-            await asyncio.sleep(1.0)
-            second.start()
-        await asyncio.sleep(RECOVERY_S)
-
-        # The end of the day: the operator asks for much longer than the stability window.
-        reads = [await deployment.order("GET", "/Configuration.Read", limit=STABILITY_S) for _ in range(5)]
-        versions = [json.loads(content)["version"] for status, content in reads if status == 200]
-        record.write(f"versions read at the end: {versions}; configuration 3 was acknowledged")
-        is_accepted = await deployment.replace_configuration(configuration(4, ROUTES), limit=10)
-        record.write(f"a further configuration is accepted: {is_accepted}")
-        return bool(versions) and min(versions) >= 3
+        if (await deployment.order("POST", "/Configuration.Replace", configuration(1, {HOST: "desk"}).encode(), 20))[0] != 200:
+            raise CannotRun("the configuration was not accepted")
+        loss = OneLoss()
+        servers = []
+        for number, address in enumerate(server_addresses):
+            server = WorkingServer(deployment, f"desk-{number + 1}", deployment.domains[number // SERVERS_PER_ZONE], "desk",
+                                   address)
+            server.filter_reply = loss.passes
+            await server.start()
+            servers.append(server)
+        await deployment.wait_until_ready(entry)
+        await asyncio.sleep(5)
+        consumer = PatientConsumer(deployment, consumer_address, (to_number(HOST), PORT))
+        await consumer.start()
+        broken = 0
+        for _ in range(FLOWS):
+            loss.is_due = has_trouble
+            outcome = await consumer.request(entry)
+            key = (consumer.number, consumer.next_port, to_number(HOST), PORT)
+            resetters = foreign_resets(servers, key)
+            broken += bool(resetters) and outcome.startswith("reset")
+            record.write(f"flow {consumer.next_port}: {outcome}; reset by servers that don't hold it: "
+                         f"{[server.name for server in resetters]}")
+            await asyncio.sleep(random.uniform(0.2, 0.6))
+        record.write(f"{broken} of {FLOWS} flows were reset while their own servers held them")
+        return broken == 0
     finally:
         deployment.stop()
 
--- a/review/common-2/flows.py
+++ b/review/common-2/flows.py
@@ -65,6 +65,7 @@
         self.opened = []  # Times at which opening packets of new flows arrived.
         self.last_heartbeat = 0.0
         self.filter_reply = None  # Returns whether a packet gets through to the consumer.
+        self.resets = set()  # Flows for which a reset was sent.
 
     async def start(self):
         self.transport = await open_datagrams(self.address, self.port, self.receive)
@@ -156,6 +157,8 @@
 
     def send(self, key, flags, sequence, acknowledged, echo, payload=b""):
         source, sport, destination, dport = key
+        if flags & RST:
+            self.resets.add(key)
         is_delivered = self.filter_reply is None or self.filter_reply(key, flags)
         self.write(f"sends flags={flags} seq={sequence & 0xFFFFFFFF} echo={echo:08x} to {to_text(source)}:{sport}"
                    + ("" if is_delivered else " (lost)"))
